--- /dev/null
+++ b/atlas/table.go
@@ -0,0 +1,203 @@
+package atlas
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"sort"
+	"strings"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/monsoonmoor/monsoonmoor/ident"
+)
+
+// Fence is the fencing token of a grant. The tokens of one table rise with its
+// versions, so that a range granted later has a higher one.
+type Fence uint64
+
+// Tenures is the number of fencing tokens that belong to each version. An owner
+// uses a higher one of them for each new life of its upstream, so that a restart
+// of the upstream alone needs no new version.
+const Tenures = 1 << 6
+
+// Limits of a table that is read.
+const (
+	maxMembers   = 4096
+	maxRows      = 1 << 14
+	maxWitnesses = 32
+	maxToken     = 256 // bytes
+)
+
+// ErrMalformed reports a document that is no table.
+var ErrMalformed = errors.New("malformed ownership table")
+
+// Member is a daemon that may own keys.
+type Member struct {
+	_ struct{} `cbor:",toarray"`
+	// Inc is the run of the daemon that holds the lease.
+	Inc ident.Incarnation
+	// Witnesses are the daemons that the lease is renewed with.
+	Witnesses []ident.Incarnation
+}
+
+// Row is a range of keys with one owner.
+type Row struct {
+	_    struct{} `cbor:",toarray"`
+	Span Span
+	// Owner is the index of the owner among the members.
+	Owner int
+	Fence Fence
+	// Token is what the last holder handed over; empty when there is none.
+	Token string
+}
+
+// document is the encoded form of a table.
+type document struct {
+	_       struct{} `cbor:",toarray"`
+	Service ident.Service
+	Writer  ident.Incarnation
+	Number  uint64
+	Members []Member
+	Rows    []Row
+}
+
+// Table is one version of the ownership table. It does not change.
+type Table struct {
+	version uint64
+	doc     document
+}
+
+// New returns the table of a service before its first version.
+func New(service ident.Service) *Table {
+	return &Table{doc: document{Service: service}}
+}
+
+// Decode reads the document of the given version. Its error wraps ErrMalformed.
+func Decode(version uint64, data []byte) (*Table, error) {
+	t := &Table{version: version}
+	if err := cbor.Unmarshal(data, &t.doc); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrMalformed, err)
+	}
+	if err := t.check(); err != nil {
+		return nil, err
+	}
+	return t, nil
+}
+
+// Encode returns the table's document. The version is not part of it.
+func (t *Table) Encode() ([]byte, error) {
+	data, err := cbor.Marshal(t.doc)
+	if err != nil {
+		return nil, fmt.Errorf("encode ownership table: %w", err)
+	}
+	return data, nil
+}
+
+func (t *Table) check() error {
+	if len(t.doc.Members) > maxMembers || len(t.doc.Rows) > maxRows {
+		return fmt.Errorf("%w: %d members, %d rows", ErrMalformed, len(t.doc.Members), len(t.doc.Rows))
+	}
+	for i, m := range t.doc.Members {
+		if len(m.Witnesses) > maxWitnesses || (i > 0 && t.doc.Members[i-1].Inc.Host >= m.Inc.Host) {
+			return fmt.Errorf("%w: member %d", ErrMalformed, i)
+		}
+	}
+	for i, r := range t.doc.Rows {
+		switch {
+		case !r.Span.check(), r.Owner < 0, r.Owner >= len(t.doc.Members), len(r.Token) > maxToken:
+			return fmt.Errorf("%w: row %d", ErrMalformed, i)
+		case i > 0 && t.doc.Rows[i-1].Span.To >= r.Span.From:
+			return fmt.Errorf("%w: row %d overlaps the one before", ErrMalformed, i)
+		}
+	}
+	return nil
+}
+
+// Version returns the table's version; 0 before the first one.
+func (t *Table) Version() uint64 { return t.version }
+
+// Service returns the service whose keys the table divides.
+func (t *Table) Service() ident.Service { return t.doc.Service }
+
+// Writer returns the member that wrote this version and the number that it gave
+// the write, by which the writer knows its own again.
+func (t *Table) Writer() (ident.Incarnation, uint64) { return t.doc.Writer, t.doc.Number }
+
+// Members returns the members in the order of their hosts. It must not be
+// changed.
+func (t *Table) Members() []Member { return t.doc.Members }
+
+// Rows returns the ranges in order. It must not be changed.
+func (t *Table) Rows() []Row { return t.doc.Rows }
+
+// Member returns the member on a host.
+func (t *Table) Member(host ident.Host) (Member, bool) {
+	if i := t.index(host); i >= 0 {
+		return t.doc.Members[i], true
+	}
+	return Member{}, false
+}
+
+func (t *Table) index(host ident.Host) int {
+	i, ok := sort.Find(len(t.doc.Members), func(i int) int {
+		return strings.Compare(string(host), string(t.doc.Members[i].Inc.Host))
+	})
+	if !ok {
+		return -1
+	}
+	return i
+}
+
+// Owner returns the member that owns a key.
+func (t *Table) Owner(p Point) (Member, bool) {
+	i := sort.Search(len(t.doc.Rows), func(i int) bool { return t.doc.Rows[i].Span.To >= p })
+	if i == len(t.doc.Rows) || !t.doc.Rows[i].Span.Has(p) {
+		return Member{}, false
+	}
+	return t.doc.Members[t.doc.Rows[i].Owner], true
+}
+
+// RowsOf returns the ranges that a host owns, in order.
+func (t *Table) RowsOf(host ident.Host) []Row {
+	i := t.index(host)
+	if i < 0 {
+		return nil
+	}
+	var rows []Row
+	for _, r := range t.doc.Rows {
+		if r.Owner == i {
+			rows = append(rows, r)
+		}
+	}
+	return rows
+}
+
+// Unowned returns the ranges that have no owner, in order.
+func (t *Table) Unowned() []Span {
+	spans := make([]Span, 0, len(t.doc.Rows))
+	for _, r := range t.doc.Rows {
+		spans = append(spans, r.Span)
+	}
+	return Without([]Span{Whole()}, spans)
+}
+
+// Spans returns the ranges of rows.
+func Spans(rows []Row) []Span {
+	spans := make([]Span, 0, len(rows))
+	for _, r := range rows {
+		spans = append(spans, r.Span)
+	}
+	return spans
+}
+
+// Change returns a change that starts from the table and, once written, makes
+// its next version.
+func (t *Table) Change() *Change {
+	next := &Table{version: t.version + 1, doc: document{
+		Service: t.doc.Service,
+		Members: slices.Clone(t.doc.Members),
+		Rows:    slices.Clone(t.doc.Rows),
+	}}
+	return &Change{table: next}
+}
--- a/caller/answer.go
+++ b/caller/answer.go
@@ -70,7 +70,7 @@
 func (h *Handler) answer(w http.ResponseWriter, call *calls.Call, reply *calls.Reply) {
 	defer func() { _ = reply.Body.Close() }()
 	header := w.Header()
-	for name, values := range cleanHeader(reply.Header) {
+	for name, values := range calls.EndToEnd(reply.Header) {
 		header[name] = values
 	}
 	header[calls.HeaderRequest] = []string{call.ID}
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -167,7 +167,7 @@
 		Service:     ident.Service(name),
 		Method:      r.Method,
 		Path:        rest,
-		Header:      cleanHeader(r.Header),
+		Header:      calls.EndToEnd(r.Header),
 		Length:      r.ContentLength,
 		Idempotency: r.Header.Get(calls.HeaderIdempotency),
 	}
--- a/calls/body.go
+++ b/calls/body.go
@@ -41,6 +41,9 @@
 // Bytes returns the whole body. The caller must not change it.
 func (b *Buffered) Bytes() []byte { return b.data }
 
+// Close implements io.Closer; there is nothing to close.
+func (b *Buffered) Close() error { return nil }
+
 // Rewind makes the next Read start at the body's beginning.
 func (b *Buffered) Rewind() {
 	if b.at != 0 {
--- a/calls/call.go
+++ b/calls/call.go
@@ -42,6 +42,17 @@
 	Idempotency string
 	// Hops is the number of daemons that have forwarded the call.
 	Hops int
+
+	// Host is the virtual host that the caller addressed; empty where services
+	// are named in the path.
+	Host string
+	// Origin is the service beside which the call entered the fleet.
+	Origin ident.Service
+	// Point is the key of an ordered key space, if Ordered is set.
+	Point   uint32
+	Ordered bool
+	// Terms say how the route wants the call to be treated.
+	Terms Terms
 }
 
 // Keyed reports whether the call belongs to one owner.
--- a/caller/header.go
+++ b/calls/header.go
@@ -1,4 +1,4 @@
-package caller
+package calls
 
 import (
 	"net/http"
@@ -26,8 +26,9 @@
 // outside in either direction.
 const internalPrefix = "Moor-"
 
-// cleanHeader returns a copy of h without hop-by-hop and internal headers.
-func cleanHeader(h http.Header) http.Header {
+// EndToEnd returns a copy of h without the headers that concern one connection
+// alone and without those of this project's own protocols.
+func EndToEnd(h http.Header) http.Header {
 	named := connectionNames(h)
 	out := make(http.Header, len(h))
 	for name, values := range h {
--- a/cmds/main.go
+++ b/cmds/main.go
@@ -49,6 +49,7 @@
 	JSON bool `name:"json" help:"Write the result as JSON."`
 
 	Daemon     daemonCmd     `cmd:"" help:"Run the daemon beside an upstream host."`
+	Fleet      fleetCmd      `cmd:"" help:"Run the daemon beside an upstream on the platform of its users."`
 	Demo       demoCmd       `cmd:"" help:"Run a whole fleet with stand-ins in one process, load it and print a summary."`
 	Check      checkCmd      `cmd:"" help:"Check settings files of daemons and teams."`
 	Publish    publishCmd    `cmd:"" help:"Publish a team's settings."`
--- /dev/null
+++ b/gossip/message.go
@@ -0,0 +1,65 @@
+package gossip
+
+import (
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/monsoonmoor/monsoonmoor/ident"
+)
+
+// MaxMessage is the largest encoded message in bytes.
+const MaxMessage = 8 << 10
+
+// Message is one datagram between two daemons. Fields that are not set mean
+// nothing.
+type Message struct {
+	From ident.Incarnation `cbor:"1,keyasint"`
+	// Entries is what the sender knows of the fleet.
+	Entries []Entry `cbor:"2,keyasint,omitempty"`
+	// Renewal asks a witness to renew the sender's lease; Renewed answers it.
+	Renewal *Renewal `cbor:"3,keyasint,omitempty"`
+	Renewed *Renewal `cbor:"4,keyasint,omitempty"`
+	// Ballot asks a witness whether a lease has ended; Vote answers yes.
+	Ballot *Ballot `cbor:"5,keyasint,omitempty"`
+	Vote   *Ballot `cbor:"6,keyasint,omitempty"`
+	// Changed tells that the sender has a newer version of a topic.
+	Changed *Version `cbor:"7,keyasint,omitempty"`
+}
+
+// Renewal is one renewal of a lease.
+type Renewal struct {
+	_ struct{} `cbor:",toarray"`
+	// Number tells the renewals of a member apart.
+	Number uint64
+}
+
+// Ballot is a vote on whether an owner's lease has ended.
+type Ballot struct {
+	_     struct{} `cbor:",toarray"`
+	Owner ident.Incarnation
+	// Witness is the run of a daemon that the owner's lease names. It may be an
+	// earlier run of the daemon that is asked.
+	Witness ident.Incarnation
+}
+
+// Encode returns the message's CBOR form.
+func (m Message) Encode() ([]byte, error) {
+	data, err := cbor.Marshal(m)
+	if err != nil {
+		return nil, fmt.Errorf("encode message: %w", err)
+	}
+	if len(data) > MaxMessage {
+		return nil, fmt.Errorf("encode message: %d bytes, at most %d allowed", len(data), MaxMessage)
+	}
+	return data, nil
+}
+
+// DecodeMessage reads the CBOR form of a message.
+func DecodeMessage(data []byte) (Message, error) {
+	var m Message
+	if err := cbor.Unmarshal(data, &m); err != nil {
+		return Message{}, fmt.Errorf("decode message: %w", err)
+	}
+	return m, nil
+}
--- /dev/null
+++ b/gossip/state.go
@@ -0,0 +1,249 @@
+package gossip
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/monsoonmoor/monsoonmoor/ident"
+)
+
+// Timings of the exchange.
+type Timings struct {
+	// Interval is the time between two rounds.
+	Interval time.Duration
+	// Fanout is the number of daemons that each round reaches.
+	Fanout int
+	// Suspect is how long a counter may stand still before its daemon is taken
+	// for lost.
+	Suspect time.Duration
+	// Forget is how long a lost daemon is still written to.
+	Forget time.Duration
+}
+
+// DefaultTimings returns timings with which news reaches a fleet of a hundred
+// within a second, and a loss is noticed within two.
+func DefaultTimings() Timings {
+	return Timings{
+		Interval: 200 * time.Millisecond,
+		Fanout:   3,
+		Suspect:  1600 * time.Millisecond,
+		Forget:   2 * time.Minute,
+	}
+}
+
+// maxEntries is the number of entries in one message: it keeps a datagram within
+// the usual size of a packet.
+const maxEntries = 8
+
+// peer is what is known of another host.
+type peer struct {
+	entry Entry
+	// heard is when the counter last rose.
+	heard time.Time
+	// told is how often the newest entry was passed on.
+	told int
+	// seed marks an address that nothing was heard from yet.
+	seed bool
+}
+
+// State is one daemon's knowledge of the fleet. It is not safe for concurrent
+// use.
+type State struct {
+	timings Timings
+	self    Entry
+	peers   map[ident.Host]*peer
+	rng     *rand.Rand
+	order   []ident.Host
+}
+
+// NewState returns the knowledge of a daemon that has heard of nobody. Seed
+// seeds the choice of targets.
+func NewState(self Entry, timings Timings, seed uint64) *State {
+	return &State{
+		timings: timings,
+		self:    self,
+		peers:   make(map[ident.Host]*peer),
+		rng:     rand.New(rand.NewPCG(seed, seed)),
+	}
+}
+
+// Self returns the daemon's own entry.
+func (s *State) Self() Entry { return s.self }
+
+// Update changes the daemon's own entry.
+func (s *State) Update(change func(*Entry)) {
+	change(&s.self)
+	s.self.Beat++
+}
+
+// Seed adds the address of a daemon that may be there.
+func (s *State) Seed(now time.Time, inc ident.Incarnation, addr string) {
+	if inc.Host == s.self.Inc.Host || addr == "" || addr == s.self.Addr {
+		return
+	}
+	if p, ok := s.peers[inc.Host]; ok {
+		if p.seed {
+			p.entry.Addr = addr
+		}
+		return
+	}
+	s.peers[inc.Host] = &peer{entry: Entry{Inc: inc, Addr: addr}, heard: now, seed: true}
+}
+
+// Merge takes what another daemon told, and returns the hosts whose run or
+// condition has changed.
+func (s *State) Merge(now time.Time, entries []Entry) []ident.Host {
+	var changed []ident.Host
+	for _, e := range entries {
+		if e.Inc.Host == "" || e.Inc.Host == s.self.Inc.Host {
+			continue
+		}
+		p, ok := s.peers[e.Inc.Host]
+		if !ok {
+			s.peers[e.Inc.Host] = &peer{entry: e, heard: now}
+			changed = append(changed, e.Inc.Host)
+			continue
+		}
+		if !p.seed && !e.newer(p.entry) {
+			continue
+		}
+		if p.seed || p.entry.Inc != e.Inc || p.entry.Condition != e.Condition {
+			changed = append(changed, e.Inc.Host)
+		}
+		p.entry, p.heard, p.told, p.seed = e, now, 0, false
+	}
+	return changed
+}
+
+// Targets returns the entries of the daemons that this round writes to. Every
+// live daemon has its turn; one lost daemon is tried as well.
+func (s *State) Targets(now time.Time) []Entry {
+	s.forget(now)
+	var targets []Entry
+	for len(targets) < s.timings.Fanout && len(targets) < s.count(now, true) {
+		host := s.next()
+		p, ok := s.peers[host]
+		if !ok || !s.isLive(p, now) || slices.ContainsFunc(targets, func(e Entry) bool { return e.Inc.Host == host }) {
+			continue
+		}
+		targets = append(targets, p.entry)
+	}
+	var lost []Entry
+	for _, p := range s.peers {
+		if !s.isLive(p, now) {
+			lost = append(lost, p.entry)
+		}
+	}
+	if len(lost) > 0 {
+		slices.SortFunc(lost, compareHosts)
+		targets = append(targets, lost[s.rng.IntN(len(lost))])
+	}
+	return targets
+}
+
+func compareHosts(a, b Entry) int { return cmp.Compare(a.Inc.Host, b.Inc.Host) }
+
+// next returns the next host in a random order that holds every host once.
+func (s *State) next() ident.Host {
+	if len(s.order) == 0 {
+		for host := range s.peers {
+			s.order = append(s.order, host)
+		}
+		slices.Sort(s.order)
+		s.rng.Shuffle(len(s.order), func(i, k int) { s.order[i], s.order[k] = s.order[k], s.order[i] })
+	}
+	host := s.order[len(s.order)-1]
+	s.order = s.order[:len(s.order)-1]
+	return host
+}
+
+func (s *State) count(now time.Time, live bool) int {
+	n := 0
+	for _, p := range s.peers {
+		if s.isLive(p, now) == live {
+			n++
+		}
+	}
+	return n
+}
+
+func (s *State) forget(now time.Time) {
+	for host, p := range s.peers {
+		if now.Sub(p.heard) > s.timings.Forget {
+			delete(s.peers, host)
+		}
+	}
+}
+
+// Digest returns what the daemon tells another: its own entry, and those of
+// others that were passed on least often.
+func (s *State) Digest(to ident.Host) []Entry {
+	var others []*peer
+	for host, p := range s.peers {
+		if host != to && !p.seed {
+			others = append(others, p)
+		}
+	}
+	slices.SortFunc(others, func(a, b *peer) int {
+		return cmp.Or(cmp.Compare(a.told, b.told), b.heard.Compare(a.heard), compareHosts(a.entry, b.entry))
+	})
+	entries := []Entry{s.self}
+	for _, p := range others[:min(len(others), maxEntries-1)] {
+		p.told++
+		entries = append(entries, p.entry)
+	}
+	return entries
+}
+
+// isLive reports whether a peer's counter has risen lately.
+func (s *State) isLive(p *peer, now time.Time) bool {
+	return !p.seed && now.Sub(p.heard) < s.timings.Suspect
+}
+
+// Find returns what is known of a host, and whether it is live.
+func (s *State) Find(now time.Time, host ident.Host) (e Entry, live bool) {
+	if host == s.self.Inc.Host {
+		return s.self, true
+	}
+	p, ok := s.peers[host]
+	if !ok {
+		return Entry{}, false
+	}
+	return p.entry, s.isLive(p, now)
+}
+
+// Silent returns how long nothing new was heard of a host; ok is false for an
+// unknown one.
+func (s *State) Silent(now time.Time, host ident.Host) (d time.Duration, ok bool) {
+	p, ok := s.peers[host]
+	if !ok {
+		return 0, false
+	}
+	return now.Sub(p.heard), true
+}
+
+// Live returns the entries of all live daemons, this one's included, in the
+// order of their hosts.
+func (s *State) Live(now time.Time) []Entry {
+	live := []Entry{s.self}
+	for _, p := range s.peers {
+		if s.isLive(p, now) {
+			live = append(live, p.entry)
+		}
+	}
+	slices.SortFunc(live, compareHosts)
+	return live
+}
+
+// Known returns the entries of all daemons ever heard of, this one's not, in the
+// order of their hosts.
+func (s *State) Known() []Entry {
+	known := make([]Entry, 0, len(s.peers))
+	for _, p := range s.peers {
+		known = append(known, p.entry)
+	}
+	slices.SortFunc(known, compareHosts)
+	return known
+}
--- /dev/null
+++ b/listen/server.go
@@ -0,0 +1,217 @@
+package listen
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/jonboulle/clockwork"
+)
+
+const (
+	// headerTime bounds the arrival of a request's header.
+	headerTime = 10 * time.Second
+	// maxHeader is the largest request header that is read, in bytes.
+	maxHeader = 64 << 10
+	// sweepTime is the time between two looks for idle connections to close.
+	sweepTime = time.Second
+	// quietTime is how long no connection may arrive before the accept queue
+	// counts as empty.
+	quietTime = 20 * time.Millisecond
+)
+
+// Server serves HTTP on one address.
+type Server struct {
+	server   *http.Server
+	listener *counting
+	clock    clockwork.Clock
+	log      logr.Logger
+	idle     func() time.Duration
+	parting  atomic.Bool
+	done     chan struct{}
+	stop     context.CancelFunc
+
+	mu    sync.Mutex
+	conns map[net.Conn]connState
+}
+
+type connState struct {
+	state http.ConnState
+	since time.Time
+}
+
+// Option changes a Server.
+type Option func(*Server)
+
+// WithClock sets the clock.
+func WithClock(clock clockwork.Clock) Option { return func(s *Server) { s.clock = clock } }
+
+// WithLogger sets the logger.
+func WithLogger(log logr.Logger) Option { return func(s *Server) { s.log = log } }
+
+// WithIdle sets what tells how long a connection may stay without a request; zero
+// keeps it for good.
+func WithIdle(idle func() time.Duration) Option { return func(s *Server) { s.idle = idle } }
+
+// Serve starts to serve on an address. Close or Drain ends it.
+func Serve(addr string, handler http.Handler, opts ...Option) (*Server, error) {
+	inner, err := net.Listen("tcp4", addr)
+	if err != nil {
+		return nil, fmt.Errorf("listen on %s: %w", addr, err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	s := &Server{
+		listener: &counting{Listener: inner},
+		clock:    clockwork.NewRealClock(), log: logr.Discard(),
+		idle:  func() time.Duration { return 0 },
+		conns: make(map[net.Conn]connState), done: make(chan struct{}), stop: stop,
+	}
+	for _, opt := range opts {
+		opt(s)
+	}
+	s.server = &http.Server{
+		Handler: s.part(handler), ReadHeaderTimeout: headerTime, MaxHeaderBytes: maxHeader, ConnState: s.change,
+	}
+	swept := make(chan struct{})
+	go func() {
+		defer close(swept)
+		s.sweep(ctx)
+	}()
+	go func() {
+		defer close(s.done)
+		if err := s.server.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+			s.log.Error(err, "listener ended", "addr", addr)
+		}
+		<-swept
+	}()
+	return s, nil
+}
+
+// Addr returns the address that is served.
+func (s *Server) Addr() net.Addr { return s.listener.Addr() }
+
+// Part makes answers ask for new connections from now on.
+func (s *Server) Part() { s.parting.Store(true) }
+
+func (s *Server) part(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.parting.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		handler.ServeHTTP(w, r)
+	})
+}
+
+// change follows the state of a connection.
+func (s *Server) change(c net.Conn, state http.ConnState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if state == http.StateClosed || state == http.StateHijacked {
+		delete(s.conns, c)
+		return
+	}
+	s.conns[c] = connState{state: state, since: s.clock.Now()}
+}
+
+// sweep closes connections that were idle for too long.
+func (s *Server) sweep(ctx context.Context) {
+	ticker := s.clock.NewTicker(sweepTime)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.Chan():
+		}
+		limit := s.idle()
+		if limit <= 0 {
+			continue
+		}
+		now := s.clock.Now()
+		s.mu.Lock()
+		for c, state := range s.conns {
+			if state.state == http.StateIdle && now.Sub(state.since) > limit {
+				_ = c.Close()
+			}
+		}
+		s.mu.Unlock()
+	}
+}
+
+// Active returns the number of connections with a request under way.
+func (s *Server) Active() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, state := range s.conns {
+		if state.state == http.StateActive || state.state == http.StateNew {
+			n++
+		}
+	}
+	return n
+}
+
+// Drain serves what waits in the accept queue, takes no more connections and ends
+// when no request is under way. It returns an error when ctx ends first.
+func (s *Server) Drain(ctx context.Context) error {
+	s.Part()
+	defer s.stop()
+	if err := s.emptyQueue(ctx); err != nil {
+		return err
+	}
+	if err := s.server.Shutdown(ctx); err != nil {
+		return fmt.Errorf("end requests on %s: %w", s.listener.Addr(), err)
+	}
+	<-s.done
+	return nil
+}
+
+// emptyQueue waits until no connection has been accepted for a moment: closing a
+// listener resets the connections that wait to be accepted.
+func (s *Server) emptyQueue(ctx context.Context) error {
+	for {
+		before := s.listener.accepted.Load()
+		timer := s.clock.NewTimer(quietTime)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return fmt.Errorf("empty accept queue of %s: %w", s.listener.Addr(), ctx.Err())
+		case <-timer.Chan():
+		}
+		if s.listener.accepted.Load() == before && s.Active() == 0 {
+			return nil
+		}
+	}
+}
+
+// Close ends the server at once. Requests under way are cut.
+func (s *Server) Close() error {
+	s.stop()
+	err := s.server.Close()
+	<-s.done
+	if err != nil {
+		return fmt.Errorf("close listener: %w", err)
+	}
+	return nil
+}
+
+// counting counts the connections that are accepted.
+type counting struct {
+	net.Listener
+	accepted atomic.Uint64
+}
+
+// Accept implements net.Listener.
+func (c *counting) Accept() (net.Conn, error) {
+	conn, err := c.Listener.Accept()
+	if err == nil {
+		c.accepted.Add(1)
+	}
+	return conn, err
+}
--- /dev/null
+++ b/mesh/desk.go
@@ -0,0 +1,254 @@
+package mesh
+
+import (
+	"context"
+	"errors"
+	"net"
+	"syscall"
+	"time"
+
+	"github.com/monsoonmoor/monsoonmoor/owner"
+)
+
+const (
+	// deskTime is the time between two looks at whether the upstream is there.
+	deskTime = 300 * time.Millisecond
+	// silentBeats is the number of heartbeats that may fail to come before the
+	// upstream is looked for.
+	silentBeats = 2.2
+	// probeTime bounds the opening of a connection to see whether anything
+	// listens at the upstream's address.
+	probeTime = 300 * time.Millisecond
+)
+
+// Heartbeat is what an upstream says of itself, keys included.
+type Heartbeat struct {
+	owner.Heartbeat
+	// Slots is the number of calls that the upstream runs at once.
+	Slots int
+	// Cold is how much longer the upstream is slow after its start.
+	Cold time.Duration
+}
+
+// desk is what is known of the upstream beside the daemon.
+type desk struct {
+	hold    time.Duration
+	life    int64
+	id      string
+	number  uint64
+	present bool
+	leaving bool
+	// departed is set when the upstream has said that it ends, outside a
+	// heartbeat.
+	departed bool
+	// left is when the leaving was first acknowledged.
+	left   time.Time
+	beat   time.Time
+	warmAt time.Time
+	slots  int
+	// waiting is the heartbeat whose answer is held back.
+	waiting chan struct{}
+}
+
+func newDesk(hold time.Duration) desk { return desk{hold: hold} }
+
+// cold returns how much longer the upstream is slow.
+func (d *desk) cold(now time.Time) time.Duration { return max(0, d.warmAt.Sub(now)) }
+
+// take takes a heartbeat and reports whether it is the newest one, and whether it
+// begins a new life.
+func (d *desk) take(now time.Time, hb Heartbeat) (newest, begun bool) {
+	switch {
+	case hb.Life < d.life:
+		return false, false
+	case hb.Life > d.life || hb.ID != d.id:
+		begun = true
+		*d = desk{hold: d.hold, life: hb.Life, id: hb.ID}
+	case hb.Number <= d.number:
+		return false, false
+	}
+	d.number, d.beat, d.present = hb.Number, now, true
+	if hb.Leaving && !d.leaving {
+		d.left = now
+	}
+	d.leaving = hb.Leaving || d.departed
+	d.slots = hb.Slots
+	d.warmAt = now.Add(hb.Cold)
+	return true, begun
+}
+
+// wake answers the waiting heartbeat when the grants should change.
+func (d *desk) wake(m *owner.Machine, now time.Time) {
+	if d.waiting != nil && m.WantsGrant(now) {
+		close(d.waiting)
+		d.waiting = nil
+	}
+}
+
+// Heartbeat takes a heartbeat of the upstream and returns what it is to hold. The
+// answer may be held back for a while, so that a change of grants reaches the
+// upstream as soon as there is one.
+func (n *Node) Heartbeat(ctx context.Context, hb Heartbeat) owner.Grant {
+	now := n.clock.Now()
+	n.mu.Lock()
+	newest, begun := n.desk.take(now, hb)
+	if !newest {
+		n.mu.Unlock()
+		n.log.Info("late heartbeat", "id", hb.ID, "life", hb.Life, "number", hb.Number)
+		return owner.Grant{}
+	}
+	left := n.desk.left
+	changed := begun || n.desk.slots != n.gateSlots() || hb.Leaving
+	if n.machine != nil {
+		n.machine.Heartbeat(now, hb.Heartbeat)
+	}
+	wait := n.prepareWait(now, hb)
+	n.notify()
+	n.mu.Unlock()
+	if changed {
+		n.upstreamChanged(hb, begun, left.Equal(now))
+	}
+	n.kick()
+	if wait != nil {
+		n.await(ctx, wait, now)
+	}
+	return n.grant(hb)
+}
+
+func (n *Node) gateSlots() int {
+	_, _, slots := n.gate.State()
+	return slots
+}
+
+// prepareWait returns what ends the wait for a change of grants; nil when the
+// heartbeat is to be answered at once. It is called with mu held.
+func (n *Node) prepareWait(now time.Time, hb Heartbeat) chan struct{} {
+	if n.machine == nil || hb.Leaving || n.machine.WantsGrant(now) {
+		return nil
+	}
+	n.desk.waiting = make(chan struct{})
+	return n.desk.waiting
+}
+
+func (n *Node) await(ctx context.Context, wait chan struct{}, since time.Time) {
+	timer := n.clock.NewTimer(n.desk.hold - n.clock.Now().Sub(since))
+	defer timer.Stop()
+	select {
+	case <-wait:
+	case <-timer.Chan():
+	case <-ctx.Done():
+	case <-n.ctx.Done():
+	}
+}
+
+// grant returns the answer to a heartbeat.
+func (n *Node) grant(hb Heartbeat) owner.Grant {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.machine == nil || n.desk.id != hb.ID || n.desk.number != hb.Number {
+		return owner.Grant{}
+	}
+	g := n.machine.Grant(n.clock.Now())
+	n.notify()
+	return g
+}
+
+// upstreamChanged notes a new state of the upstream.
+func (n *Node) upstreamChanged(hb Heartbeat, begun, leaves bool) {
+	if begun {
+		n.pool.Renew()
+		n.gate.Forget()
+	}
+	n.gate.Announce(hb.Slots)
+	if begun || leaves {
+		n.log.Info("upstream announced", "id", hb.ID, "life", hb.Life, "slots", hb.Slots, "leaving", hb.Leaving,
+			"cold", hb.Cold.String(), "holds", len(hb.Holds), "new", begun)
+		n.shout()
+	}
+}
+
+// Leave takes an upstream's word that it ends.
+func (n *Node) Leave(id string) {
+	now := n.clock.Now()
+	n.mu.Lock()
+	known := n.desk.id == id
+	if known && !n.desk.departed {
+		if !n.desk.leaving {
+			n.desk.left = now
+		}
+		n.desk.leaving, n.desk.departed = true, true
+		if n.machine != nil {
+			n.machine.Depart()
+		}
+	}
+	n.notify()
+	n.mu.Unlock()
+	n.log.Info("upstream leaves", "id", id, "known", known)
+	if known {
+		n.shout()
+		n.kick()
+	}
+}
+
+// upstreamDown takes the pool's word that the upstream can't be reached.
+func (n *Node) upstreamDown(sure bool) {
+	now := n.clock.Now()
+	n.mu.Lock()
+	was := n.desk.present
+	if sure {
+		n.desk.present = false
+	}
+	if n.machine != nil && sure {
+		n.machine.Down(now, true)
+	}
+	n.notify()
+	n.mu.Unlock()
+	if was && sure {
+		n.log.Info("upstream lost", "id", n.desk.id, "refused", sure)
+		n.shout()
+		n.kick()
+	}
+}
+
+// watchUpstream looks for an upstream whose heartbeats have failed to come.
+func (n *Node) watchUpstream() {
+	now := n.clock.Now()
+	n.mu.Lock()
+	limit := time.Duration(silentBeats * float64(n.settings.Interval))
+	silent := n.desk.id == "" || now.Sub(n.desk.beat) > limit
+	present := n.desk.present
+	n.mu.Unlock()
+	if !silent {
+		return
+	}
+	listening, refused := n.probe()
+	if refused {
+		n.upstreamDown(true)
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.machine != nil && present {
+		n.machine.Down(now, false)
+	}
+	if present && !listening {
+		n.desk.present = false
+		n.log.Info("upstream lost", "id", n.desk.id, "silent", now.Sub(n.desk.beat).String())
+		n.notify()
+	}
+}
+
+// probe reports whether something listens at the upstream's address, or certainly
+// nothing does.
+func (n *Node) probe() (listening, refused bool) {
+	ctx, cancel := context.WithCancel(n.ctx)
+	defer cancel()
+	timer := n.clock.AfterFunc(probeTime, cancel)
+	defer timer.Stop()
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp4", n.settings.Upstream)
+	if err != nil {
+		return false, errors.Is(err, syscall.ECONNREFUSED)
+	}
+	_ = conn.Close()
+	return true, false
+}
--- /dev/null
+++ b/mesh/directory.go
@@ -0,0 +1,81 @@
+package mesh
+
+import (
+	"time"
+
+	"github.com/monsoonmoor/monsoonmoor/gossip"
+	"github.com/monsoonmoor/monsoonmoor/ident"
+	"github.com/monsoonmoor/monsoonmoor/owner"
+	"github.com/monsoonmoor/monsoonmoor/steer"
+)
+
+// Where implements steer.Directory.
+func (n *Node) Where(service ident.Service, point uint32) (owner.Place, ident.Host) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.machine != nil && service == n.settings.Service {
+		return n.machine.Where(n.clock.Now(), point)
+	}
+	t, ok := n.tables[service]
+	if !ok {
+		return owner.Nowhere, ""
+	}
+	member, ok := t.current.Owner(point)
+	if !ok {
+		return owner.Nowhere, ""
+	}
+	return owner.Elsewhere, member.Inc.Host
+}
+
+// Target implements steer.Directory.
+func (n *Node) Target(host ident.Host) (steer.Target, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	e, _ := n.state.Find(n.clock.Now(), host)
+	if e.Addr == "" {
+		return steer.Target{}, false
+	}
+	return n.target(e), true
+}
+
+// Targets implements steer.Directory.
+func (n *Node) Targets(service ident.Service) []steer.Target {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var targets []steer.Target
+	for _, e := range n.state.Live(n.clock.Now()) {
+		if e.Inc.Host == n.settings.Host {
+			e.Condition = n.condition()
+			if n.stopping && n.desk.present && !n.desk.leaving {
+				// The upstream stays and this daemon still serves it.
+				e.Condition = gossip.Ready
+			}
+		}
+		if e.Service == service && e.Condition == gossip.Ready {
+			targets = append(targets, n.target(e))
+		}
+	}
+	return targets
+}
+
+// target returns a daemon as the router sees it. It is called with mu held.
+func (n *Node) target(e gossip.Entry) steer.Target {
+	t := steer.Target{
+		Host: e.Inc.Host, Addr: e.Addr,
+		Local: e.Inc.Host == n.settings.Host, Near: e.Zone == n.settings.Zone,
+		Capacity: float64(e.Load.Capacity), Slots: int(e.Slots),
+	}
+	if t.Local {
+		t.Wait = n.gate.Wait()
+	} else {
+		t.Wait = n.waits.get(e.Addr, time.Duration(e.Load.Wait)*time.Millisecond)
+	}
+	return t
+}
+
+// measure takes in the load of the keys.
+func (n *Node) measure() {
+	now := n.clock.Now()
+	n.heat.Tick(now)
+	n.fleet.Tick(now)
+}
--- /dev/null
+++ b/mesh/fleet.go
@@ -0,0 +1,240 @@
+package mesh
+
+import (
+	"time"
+
+	"github.com/monsoonmoor/monsoonmoor/gossip"
+	"github.com/monsoonmoor/monsoonmoor/ident"
+)
+
+// gossip tells a few other daemons what this one knows.
+func (n *Node) gossip() {
+	now := n.clock.Now()
+	n.mu.Lock()
+	n.updateSelf()
+	targets := n.state.Targets(now)
+	messages := make([]gossip.Message, 0, len(targets))
+	for _, t := range targets {
+		messages = append(messages, gossip.Message{From: n.self, Entries: n.state.Digest(t.Inc.Host)})
+	}
+	n.mu.Unlock()
+	for i, t := range targets {
+		n.socket.Send(t.Addr, messages[i])
+	}
+}
+
+// updateSelf brings this daemon's own entry up to date. It is called with mu
+// held.
+func (n *Node) updateSelf() {
+	offered, capacity := n.gate.Load()
+	n.state.Update(func(e *gossip.Entry) {
+		e.Condition = n.condition()
+		_, _, slots := n.gate.State()
+		e.Slots = uint16(slots)
+		e.Load = gossip.Load{
+			Offered: float32(offered), Capacity: float32(capacity),
+			Wait: uint32(n.gate.Wait().Milliseconds()), Cold: uint32(n.desk.cold(n.clock.Now()).Milliseconds()),
+		}
+	})
+}
+
+// condition returns the state of the upstream as others should see it. It is
+// called with mu held.
+func (n *Node) condition() gossip.Condition {
+	switch {
+	case n.stopping:
+		return gossip.Stopping
+	case !n.desk.present:
+		return gossip.Absent
+	case n.desk.leaving:
+		return gossip.Draining
+	}
+	return gossip.Ready
+}
+
+// shout tells every live daemon this one's state at once.
+func (n *Node) shout() {
+	n.mu.Lock()
+	n.updateSelf()
+	live := n.state.Live(n.clock.Now())
+	message := gossip.Message{From: n.self, Entries: []gossip.Entry{n.state.Self()}}
+	n.mu.Unlock()
+	for _, e := range live {
+		if e.Inc.Host != n.settings.Host {
+			n.socket.Send(e.Addr, message)
+		}
+	}
+}
+
+// take takes a message of another daemon.
+func (n *Node) take(m gossip.Message) {
+	now := n.clock.Now()
+	if len(m.Entries) > 0 {
+		n.takeEntries(now, m)
+	}
+	if m.Renewal != nil {
+		n.answerRenewal(now, m)
+	}
+	if m.Renewed != nil {
+		n.mu.Lock()
+		if n.machine != nil {
+			n.machine.Renewed(m.From, m.Renewed.Number)
+		}
+		n.mu.Unlock()
+		n.kick()
+	}
+	if m.Ballot != nil {
+		n.answerBallot(now, m)
+	}
+	if m.Vote != nil {
+		n.mu.Lock()
+		if n.machine != nil {
+			n.machine.Voted(m.Vote.Owner, m.Vote.Witness)
+			if m.Vote.Owner.Host == n.settings.Host {
+				n.machine.Fenced(m.Vote.Witness, m.Vote.Owner)
+			}
+		}
+		n.mu.Unlock()
+		n.kick()
+	}
+	if m.Changed != nil {
+		n.hear(now, m.From.Host, *m.Changed)
+	}
+}
+
+// takeEntries takes what another daemon knows of the fleet. A daemon that was
+// not known before is answered, so that the two know each other at once.
+func (n *Node) takeEntries(now time.Time, m gossip.Message) {
+	n.mu.Lock()
+	_, known := n.state.Find(now, m.From.Host)
+	changed := n.state.Merge(now, m.Entries)
+	sender, _ := n.state.Find(now, m.From.Host)
+	reply := gossip.Message{From: n.self, Entries: n.state.Digest(m.From.Host)}
+	var live []gossip.Entry
+	if len(changed) > 0 {
+		live = n.state.Live(now)
+		n.notify()
+	}
+	n.mu.Unlock()
+	if !known && sender.Addr != "" {
+		n.socket.Send(sender.Addr, reply)
+	}
+	for _, host := range changed {
+		n.logPeer(now, host, len(live))
+	}
+	for _, e := range m.Entries {
+		for _, v := range e.Versions {
+			n.hear(now, m.From.Host, v)
+		}
+		break
+	}
+	if len(changed) > 0 {
+		n.kick()
+	}
+}
+
+func (n *Node) logPeer(now time.Time, host ident.Host, live int) {
+	n.mu.Lock()
+	e, ok := n.state.Find(now, host)
+	n.mu.Unlock()
+	n.log.Info("peer changed", "peer", e.Inc.String(), "addr", e.Addr, "service", string(e.Service),
+		"condition", e.Condition.String(), "live", ok, "fleet", live)
+}
+
+// hear takes the news that another daemon has a version of a document, and
+// fetches it when it is newer.
+func (n *Node) hear(now time.Time, host ident.Host, v gossip.Version) {
+	n.mu.Lock()
+	from, ok := n.state.Find(now, host)
+	newer := false
+	if v.Name == configDoc {
+		newer = v.Number > n.plans.Plan().Version()
+	}
+	for service, t := range n.tables {
+		if topicOf(service) == v.Name {
+			newer = v.Number > t.current.Version()
+		}
+	}
+	n.mu.Unlock()
+	if newer && ok {
+		n.fetch(from.Addr, v)
+	}
+}
+
+// answerRenewal renews another member's lease, or says that it was voted
+// against.
+func (n *Node) answerRenewal(now time.Time, m gossip.Message) {
+	n.mu.Lock()
+	renewed := n.witness.Renew(now, m.From)
+	from, ok := n.state.Find(now, m.From.Host)
+	n.mu.Unlock()
+	if !ok && from.Addr == "" {
+		return
+	}
+	reply := gossip.Message{From: n.self, Renewed: m.Renewal}
+	if !renewed {
+		reply = gossip.Message{From: n.self, Vote: &gossip.Ballot{Owner: m.From, Witness: n.self}}
+	}
+	n.socket.Send(from.Addr, reply)
+}
+
+// answerBallot votes on whether a member's lease has ended.
+func (n *Node) answerBallot(now time.Time, m gossip.Message) {
+	n.mu.Lock()
+	voted := n.witness.Vote(now, m.Ballot.Owner, m.Ballot.Witness)
+	wait := n.witness.Wait(now, m.Ballot.Owner)
+	from, _ := n.state.Find(now, m.From.Host)
+	n.mu.Unlock()
+	n.log.Info("asked for a vote", "owner", m.Ballot.Owner.String(), "by", m.From.String(), "voted", voted, "wait", wait.String())
+	if voted && from.Addr != "" {
+		n.socket.Send(from.Addr, gossip.Message{From: n.self, Vote: m.Ballot})
+	}
+}
+
+// think looks at leases, members and moves at every tick and kick.
+func (n *Node) think() {
+	ticker := n.clock.NewTicker(tickTime)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-n.ctx.Done():
+			return
+		case <-ticker.Chan():
+		case <-n.kicks:
+		}
+		n.act()
+	}
+}
+
+// act does what the machine wants done.
+func (n *Node) act() {
+	now := n.clock.Now()
+	n.mu.Lock()
+	if n.machine == nil {
+		n.mu.Unlock()
+		return
+	}
+	n.updateSelf()
+	a := n.machine.Tick(now, n.state.Live(now))
+	to := make([]string, len(a.Messages))
+	for i, m := range a.Messages {
+		e, _ := n.state.Find(now, m.To)
+		to[i] = e.Addr
+	}
+	n.desk.wake(n.machine, now)
+	if a.Regrant {
+		n.notify()
+	}
+	n.mu.Unlock()
+	for i, m := range a.Messages {
+		if to[i] != "" {
+			n.socket.Send(to[i], m.Message)
+		}
+	}
+	for _, note := range a.Notes {
+		n.log.Info(note.Text, note.Pairs...)
+	}
+	if a.Proposal != nil {
+		n.run(func() { n.write(a.Proposal) })
+	}
+}
--- /dev/null
+++ b/mesh/node.go
@@ -0,0 +1,246 @@
+package mesh
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/jonboulle/clockwork"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/monsoonmoor/monsoonmoor/calls"
+	"github.com/monsoonmoor/monsoonmoor/gossip"
+	"github.com/monsoonmoor/monsoonmoor/ident"
+	"github.com/monsoonmoor/monsoonmoor/lease"
+	"github.com/monsoonmoor/monsoonmoor/owner"
+	"github.com/monsoonmoor/monsoonmoor/peers"
+	"github.com/monsoonmoor/monsoonmoor/plan"
+	"github.com/monsoonmoor/monsoonmoor/sched"
+	"github.com/monsoonmoor/monsoonmoor/steer"
+	"github.com/monsoonmoor/monsoonmoor/store"
+	"github.com/monsoonmoor/monsoonmoor/upconn"
+	"github.com/monsoonmoor/monsoonmoor/vhost"
+)
+
+const (
+	// tickTime is the time between two looks at leases, members and moves.
+	tickTime = 50 * time.Millisecond
+	// heatTime is the time between two readings of the keys' load.
+	heatTime = 250 * time.Millisecond
+)
+
+// Node is the daemon beside one upstream.
+type Node struct {
+	settings Settings
+	ports    Ports
+	clock    clockwork.Clock
+	log      logr.Logger
+	scope    tally.Scope
+	self     ident.Incarnation
+
+	plans  *vhost.Holder
+	gate   *sched.Gate
+	pool   *upconn.Pool
+	web    *peers.Web
+	socket *gossip.Socket
+	router *steer.Router
+	budget *steer.Budget
+	heat   *plan.Heat
+	fleet  *plan.Heat
+	waits  *waits
+
+	// mu guards what the daemon believes of the fleet, the leases and the keys.
+	mu       sync.Mutex
+	state    *gossip.State
+	witness  *lease.Witness
+	machine  *owner.Machine
+	tables   map[ident.Service]*table
+	desk     desk
+	changed  chan struct{}
+	stopping bool
+
+	followers []*store.Follower
+	fetching  sync.Map
+	configRaw atomic.Pointer[document]
+	ready     atomic.Bool
+	kicks     chan struct{}
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	duties sync.WaitGroup
+}
+
+var (
+	_ calls.Executor   = (*Node)(nil)
+	_ peers.WebHandler = (*peerSide)(nil)
+	_ steer.Directory  = (*Node)(nil)
+)
+
+// New starts a node. Its error wraps ErrSettings for bad settings.
+func New(settings Settings, ports Ports, opts ...Option) (*Node, error) {
+	if err := settings.check(); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	n := &Node{
+		settings: settings, ports: ports,
+		clock: clockwork.NewRealClock(), log: logr.Discard(), scope: tally.NoopScope,
+		plans: vhost.NewHolder(), heat: plan.NewHeat(), fleet: plan.NewHeat(),
+		tables: make(map[ident.Service]*table), changed: make(chan struct{}),
+		kicks: make(chan struct{}, 1), ctx: ctx, cancel: cancel,
+	}
+	for _, opt := range opts {
+		opt(n)
+	}
+	n.waits = newWaits(n.clock)
+	now := n.clock.Now()
+	n.self = ident.NewIncarnation(settings.Host, uint64(now.UnixMilli()))
+	n.log = n.log.WithValues("host", string(settings.Host))
+	n.build(now)
+	if err := n.open(); err != nil {
+		return nil, errors.Join(err, n.Close())
+	}
+	n.start()
+	return n, nil
+}
+
+// build makes the parts that do no input or output.
+func (n *Node) build(now time.Time) {
+	s := n.settings
+	n.state = gossip.NewState(gossip.Entry{
+		Inc: n.self, Addr: s.Peers, Zone: s.Zone, Service: s.Service,
+	}, gossip.DefaultTimings(), n.self.Boot)
+	for i, addr := range s.Seeds {
+		n.state.Seed(now, ident.NewIncarnation(ident.Host(fmt.Sprintf("seed-%d", i)), 0), addr)
+	}
+	n.witness = lease.NewWitness(n.self, s.terms(), now)
+	n.gate = sched.NewGate(n.clock)
+	n.pool = upconn.New(s.Upstream, n.ports.Dialect, upconn.WithClock(n.clock), upconn.WithLogger(n.log),
+		upconn.WithScope(n.scope), upconn.WithDown(n.upstreamDown))
+	n.budget = steer.NewBudget(s.RetryRatio, n.retrySlack(), s.RetryWindow)
+	n.desk = newDesk(s.answerHold())
+}
+
+// retrySlack is the part of the fleet's slack that this daemon may use, for a
+// fleet of the size that is usual at the start.
+func (n *Node) retrySlack() float64 { return n.settings.RetrySlack / assumedFleet }
+
+// assumedFleet is the number of daemons among which the fleet's slack of repeated
+// sendings is divided.
+const assumedFleet = 16
+
+// open opens the sockets.
+func (n *Node) open() error {
+	var err error
+	n.web, err = peers.ListenWeb(n.settings.Peers, nil, &peerSide{n}, peers.WithWebClock(n.clock),
+		peers.WithWebLogger(n.log), peers.WithWaits(n.waits.learn))
+	if err != nil {
+		return err
+	}
+	n.router = steer.New(n, &local{node: n}, n.web, steer.WithClock(n.clock), steer.WithLogger(n.log),
+		steer.WithScope(n.scope), steer.WithBudget(n.budget))
+	n.socket, err = gossip.Listen(n.settings.Peers, n.take, n.log)
+	if err != nil {
+		return fmt.Errorf("open socket for peers: %w", err)
+	}
+	return nil
+}
+
+// start starts the duties.
+func (n *Node) start() {
+	n.followConfig()
+	n.run(n.announce)
+	n.run(func() { n.every(gossip.DefaultTimings().Interval, n.gossip) })
+	n.run(n.think)
+	n.run(func() { n.every(heatTime, n.measure) })
+	n.run(func() { n.every(deskTime, n.watchUpstream) })
+}
+
+func (n *Node) run(duty func()) {
+	n.duties.Add(1)
+	go func() {
+		defer n.duties.Done()
+		duty()
+	}()
+}
+
+// every calls f at the given interval until the node ends.
+func (n *Node) every(interval time.Duration, f func()) {
+	ticker := n.clock.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-n.ctx.Done():
+			return
+		case <-ticker.Chan():
+			f()
+		}
+	}
+}
+
+// Run implements calls.Executor for callers of this daemon.
+func (n *Node) Run(ctx context.Context, call *calls.Call) (*calls.Reply, error) {
+	if call.Ordered {
+		n.fleet.Touch(call.Point)
+	}
+	return n.router.Run(ctx, call)
+}
+
+// Plan returns the configuration in force.
+func (n *Node) Plan() *vhost.Plan { return n.plans.Plan() }
+
+// Ready reports whether callers should use this daemon.
+func (n *Node) Ready() bool { return n.ready.Load() }
+
+// kick makes the daemon look at its leases, members and moves now.
+func (n *Node) kick() {
+	select {
+	case n.kicks <- struct{}{}:
+	default:
+	}
+}
+
+// notify tells waiting calls that places or targets have changed. It is called
+// with mu held.
+func (n *Node) notify() {
+	close(n.changed)
+	n.changed = make(chan struct{})
+}
+
+// Changed implements steer.Directory.
+func (n *Node) Changed() <-chan struct{} {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.changed
+}
+
+// Close ends the node at once. Calls in flight are cut.
+func (n *Node) Close() error {
+	n.cancel()
+	var errs []error
+	for _, f := range n.followers {
+		errs = append(errs, f.Close())
+	}
+	n.mu.Lock()
+	for _, t := range n.tables {
+		if t.follower != nil {
+			n.mu.Unlock()
+			errs = append(errs, t.follower.Close())
+			n.mu.Lock()
+		}
+	}
+	n.mu.Unlock()
+	if n.socket != nil {
+		errs = append(errs, n.socket.Close())
+	}
+	if n.web != nil {
+		errs = append(errs, n.web.Close())
+	}
+	errs = append(errs, n.pool.Close())
+	n.duties.Wait()
+	return errors.Join(errs...)
+}
--- /dev/null
+++ b/mesh/ports.go
@@ -0,0 +1,50 @@
+package mesh
+
+import (
+	"context"
+
+	"github.com/go-logr/logr"
+	"github.com/jonboulle/clockwork"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/monsoonmoor/monsoonmoor/calls"
+	"github.com/monsoonmoor/monsoonmoor/store"
+	"github.com/monsoonmoor/monsoonmoor/upconn"
+	"github.com/monsoonmoor/monsoonmoor/vhost"
+)
+
+// Config tells where the operators' configuration is.
+type Config struct {
+	// Topic and Key name the newest configuration in the store.
+	Topic, Key string
+	// Decode reads one. Its error says which field is wrong.
+	Decode func(data []byte) (*vhost.Plan, error)
+}
+
+// Ports are what a node reaches the world through.
+type Ports struct {
+	Store   store.Port
+	Dialect upconn.Dialect
+	Config  Config
+}
+
+// Peers reaches other daemons. *peers.Web implements it.
+type Peers interface {
+	Forward(ctx context.Context, addr string, call *calls.Call) (*calls.Reply, error)
+	Document(ctx context.Context, addr, name string) (data []byte, version uint64, err error)
+	Shutdown(ctx context.Context) error
+	Close() error
+}
+
+// Option changes a Node.
+type Option func(*Node)
+
+// WithClock sets the clock. It must count the time for which the host is
+// suspended.
+func WithClock(clock clockwork.Clock) Option { return func(n *Node) { n.clock = clock } }
+
+// WithLogger sets the logger.
+func WithLogger(log logr.Logger) Option { return func(n *Node) { n.log = log } }
+
+// WithScope sets the scope for metrics.
+func WithScope(scope tally.Scope) Option { return func(n *Node) { n.scope = scope } }
--- /dev/null
+++ b/owner/moves.go
@@ -0,0 +1,94 @@
+package owner
+
+import (
+	"time"
+
+	"github.com/monsoonmoor/monsoonmoor/atlas"
+	"github.com/monsoonmoor/monsoonmoor/gossip"
+	"github.com/monsoonmoor/monsoonmoor/plan"
+)
+
+const (
+	// moveInterval is the least time between two moves for load: the rates must
+	// have followed the last one.
+	moveInterval = 1200 * time.Millisecond
+	// stuckTime is how long a move may take before it is given up.
+	stuckTime = 4 * time.Second
+)
+
+// planMoves starts the moves that are due and reports whether there is a new
+// one.
+func (m *Machine) planMoves(now time.Time) bool {
+	if !m.isMember() || !m.upstream.present || !now.Before(m.until()) {
+		return false
+	}
+	if m.stopping || m.upstream.leaving {
+		return m.releaseAll(now)
+	}
+	m.giveUpStuck(now)
+	if len(m.releases) > 0 || now.Sub(m.moved) < moveInterval || m.proposal != nil {
+		return false
+	}
+	pieces := plan.Moves(m.host, m.table.RowsOf(m.host), m.heat, m.loads())
+	if len(pieces) == 0 {
+		return false
+	}
+	m.moved = now
+	for _, p := range pieces {
+		m.release(now, p)
+	}
+	return true
+}
+
+func (m *Machine) release(now time.Time, p plan.Piece) {
+	m.releases = append(m.releases, &release{span: p.Span, to: p.To, since: now})
+	m.note("releasing", "span", p.Span.String(), "to", string(p.To), "rate", int(m.heat.Rate(p.Span)))
+}
+
+// releaseAll gives away everything that is not on its way already.
+func (m *Machine) releaseAll(now time.Time) bool {
+	var going []atlas.Span
+	for _, r := range m.releases {
+		going = append(going, r.span)
+	}
+	rest := atlas.Without(atlas.Spans(m.table.RowsOf(m.host)), going)
+	pieces := m.divide(rest, true)
+	for _, p := range pieces {
+		m.release(now, p)
+	}
+	return len(pieces) > 0
+}
+
+// giveUpStuck takes back moves that do not end, such as those to a member that
+// has gone.
+func (m *Machine) giveUpStuck(now time.Time) {
+	kept := m.releases[:0]
+	for _, r := range m.releases {
+		if now.Sub(r.since) > stuckTime && !r.done {
+			m.note("move given up", "span", r.span.String(), "to", string(r.to))
+			continue
+		}
+		kept = append(kept, r)
+	}
+	m.releases = kept
+}
+
+// loads returns the loads of the members that can take keys, this one included.
+func (m *Machine) loads() []plan.Member {
+	var members []plan.Member
+	for _, e := range m.live {
+		if !m.canTake(e.Inc.Host) || e.Service != m.service || e.Condition != gossip.Ready {
+			continue
+		}
+		rows := m.table.RowsOf(e.Inc.Host)
+		members = append(members, plan.Member{
+			Host:     e.Inc.Host,
+			Offered:  float64(e.Load.Offered),
+			Capacity: float64(e.Load.Capacity),
+			Cold:     time.Duration(e.Load.Cold) * time.Millisecond,
+			Rows:     len(rows),
+			Keys:     atlas.Keys(atlas.Spans(rows)),
+		})
+	}
+	return members
+}
--- /dev/null
+++ b/owner/propose.go
@@ -0,0 +1,319 @@
+package owner
+
+import (
+	"time"
+
+	"github.com/monsoonmoor/monsoonmoor/atlas"
+	"github.com/monsoonmoor/monsoonmoor/gossip"
+	"github.com/monsoonmoor/monsoonmoor/ident"
+	"github.com/monsoonmoor/monsoonmoor/plan"
+)
+
+const (
+	// settleTime is how long keys without owner wait for members that are still
+	// joining.
+	settleTime = time.Second
+	// stepIn is how long each further member waits before it does a duty that
+	// another one is first in line for.
+	stepIn = 400 * time.Millisecond
+	// raceDelay spreads the next attempts of members that lost a race, for each
+	// member of the service.
+	raceDelay = 6 * time.Millisecond
+	// retryDelay is the time before a refused or unanswered write is repeated.
+	retryDelay = 250 * time.Millisecond
+)
+
+// Tick tells the machine the time and what is known of the fleet, and returns
+// what is to be done.
+func (m *Machine) Tick(now time.Time, live []gossip.Entry) Actions {
+	m.live = live
+	a := Actions{Messages: m.renew(now)}
+	a.Messages = append(a.Messages, m.ballot(now)...)
+	if m.planMoves(now) {
+		a.Regrant = true
+	}
+	if m.proposal == nil && m.read && !now.Before(m.quiet) {
+		a.Proposal = m.propose(now)
+		m.proposal = a.Proposal
+	}
+	a.Notes, m.notes = m.notes, nil
+	return a
+}
+
+// Settled takes what became of a proposal. After Lost the caller reads the table
+// anew.
+func (m *Machine) Settled(now time.Time, proposal *atlas.Table, outcome Outcome) {
+	if m.proposal != proposal {
+		return
+	}
+	switch outcome {
+	case Written:
+		m.Read(now, proposal)
+	case Lost:
+		m.proposal = nil
+		spread := raceDelay * time.Duration(max(1, len(m.table.Members())))
+		m.quiet = now.Add(time.Duration(m.rng.Int64N(int64(spread) + 1)))
+	case Refused, Unknown:
+		m.proposal = nil
+		m.quiet = now.Add(retryDelay/2 + time.Duration(m.rng.Int64N(int64(retryDelay))))
+	}
+}
+
+// propose returns the next version of the table, nil when nothing should change.
+func (m *Machine) propose(now time.Time) *atlas.Table {
+	c := m.table.Change()
+	m.proposeMembership(now, c)
+	if _, ok := m.table.Member(m.host); ok && m.isMember() {
+		m.proposeReleases(c)
+		m.proposeLoss(now, c)
+	}
+	m.proposeLeave(now, c)
+	if m.isMember() || c.Changed() {
+		m.proposeTakeovers(c)
+		m.proposeUnowned(now, c)
+	}
+	if !c.Changed() {
+		return nil
+	}
+	m.writes++
+	return c.Sign(m.Lease(), m.writes)
+}
+
+// proposeMembership makes this run a member, or names other witnesses.
+func (m *Machine) proposeMembership(now time.Time, c *atlas.Change) {
+	joined := m.isMember()
+	switch {
+	case joined && (!m.needsWitnesses(now) || !m.isCovered(now)):
+		return
+	case joined:
+		m.note("naming witnesses", "witnesses", names(m.candidates), "before", names(m.holder.Witnesses()))
+	case !m.wantsKeys() || !m.isCovered(now):
+		return
+	default:
+		m.note("joining", "lease", m.Lease().String(), "witnesses", names(m.candidates))
+	}
+	c.Join(atlas.Member{Inc: m.Lease(), Witnesses: m.candidates})
+	if !joined {
+		m.proposeResume(c)
+	}
+}
+
+// wantsKeys reports whether the member can own keys.
+func (m *Machine) wantsKeys() bool {
+	return m.upstream.present && !m.upstream.leaving && !m.stopping
+}
+
+// proposeResume decides whether the upstream goes on with the ranges that an
+// earlier run of this daemon had: it does if it still holds them, or never did.
+func (m *Machine) proposeResume(c *atlas.Change) {
+	resumed := true
+	for _, row := range m.table.RowsOf(m.host) {
+		if !m.holdsRow(row) {
+			resumed = false
+		}
+	}
+	if !resumed {
+		m.tenure = 0
+		c.Renew(m.host)
+	}
+	m.note("resuming ranges", "rows", len(m.table.RowsOf(m.host)), "same_tokens", resumed)
+}
+
+// holdsRow reports whether the upstream holds a whole row under its token.
+func (m *Machine) holdsRow(row atlas.Row) bool {
+	rest := []atlas.Span{row.Span}
+	for _, h := range m.upstream.holds {
+		if h.Fence == row.Fence+m.tenure {
+			rest = atlas.Without(rest, []atlas.Span{h.Span})
+		}
+	}
+	return len(rest) == 0
+}
+
+// proposeReleases hands over what the upstream has let go of.
+func (m *Machine) proposeReleases(c *atlas.Change) {
+	for _, r := range m.releases {
+		if !r.done {
+			continue
+		}
+		to := r.to
+		if !m.canTake(to) {
+			pieces := m.divide([]atlas.Span{r.span}, true)
+			if len(pieces) == 0 {
+				continue
+			}
+			to = pieces[0].To
+		}
+		rest := []atlas.Span{r.span}
+		for _, freed := range r.tokens {
+			if c.Assign(freed.Span, to, freed.Token) {
+				rest = atlas.Without(rest, []atlas.Span{freed.Span})
+			}
+		}
+		for _, span := range rest {
+			c.Assign(span, to, "")
+		}
+		m.note("handing over", "span", r.span.String(), "to", string(to), "tokens", len(r.tokens))
+	}
+}
+
+// proposeLoss gives away the ranges of an upstream that is gone.
+func (m *Machine) proposeLoss(now time.Time, c *atlas.Change) {
+	if !m.isFree(now) {
+		return
+	}
+	rows := m.table.RowsOf(m.host)
+	for _, p := range m.divide(atlas.Spans(rows), true) {
+		c.Assign(p.Span, p.To, "")
+		m.note("giving away the ranges of a lost upstream", "span", p.Span.String(), "to", string(p.To))
+	}
+}
+
+// proposeLeave removes a member that owns nothing and wants nothing.
+func (m *Machine) proposeLeave(now time.Time, c *atlas.Change) {
+	member, ok := m.table.Member(m.host)
+	if !ok {
+		return
+	}
+	left := m.stopping || m.upstream.leaving || m.isFree(now)
+	if !left || len(c.RowsOf(m.host)) > 0 {
+		if member.Inc != m.Lease() && m.isFree(now) {
+			m.leaveForLostRun(c)
+		}
+		return
+	}
+	m.note("leaving", "lease", m.Lease().String())
+	c.Drop(m.host)
+}
+
+// leaveForLostRun gives away what an earlier run of this daemon owned, when the
+// upstream is gone as well.
+func (m *Machine) leaveForLostRun(c *atlas.Change) {
+	pieces := m.divide(atlas.Spans(m.table.RowsOf(m.host)), true)
+	if len(pieces) == 0 {
+		return
+	}
+	for _, p := range pieces {
+		c.Assign(p.Span, p.To, "")
+	}
+	c.Drop(m.host)
+	m.note("giving away the ranges of an earlier run", "pieces", len(pieces))
+}
+
+// proposeUnowned divides keys without owner, once the members that are joining
+// had their time.
+func (m *Machine) proposeUnowned(now time.Time, c *atlas.Change) {
+	if m.unowned.IsZero() {
+		if len(m.table.Unowned()) == 0 {
+			return
+		}
+		m.unowned = now
+	}
+	if !m.isMember() || !m.wantsKeys() {
+		return
+	}
+	waited := now.Sub(m.unowned)
+	wait := stepIn * time.Duration(m.turn())
+	if m.isJoining() {
+		wait += settleTime
+	}
+	if waited < wait {
+		return
+	}
+	spans := m.table.Unowned()
+	for _, p := range m.divide(spans, false) {
+		if c.Assign(p.Span, p.To, "") {
+			m.note("assigning keys without owner", "span", p.Span.String(), "to", string(p.To))
+		}
+	}
+}
+
+// isJoining reports whether a live daemon with an upstream of the service is no
+// member yet.
+func (m *Machine) isJoining() bool {
+	for _, e := range m.live {
+		if e.Service != m.service || e.Condition != gossip.Ready {
+			continue
+		}
+		if _, ok := m.table.Member(e.Inc.Host); !ok {
+			return true
+		}
+	}
+	return false
+}
+
+// turn returns how many live members are before this one in line for a duty that
+// any member may do.
+func (m *Machine) turn() int {
+	n := 0
+	for _, member := range m.table.Members() {
+		if member.Inc.Host >= m.host {
+			break
+		}
+		if m.canTake(member.Inc.Host) {
+			n++
+		}
+	}
+	return n
+}
+
+// canTake reports whether a host may be given keys: it is a member, lives, and
+// its upstream is ready.
+func (m *Machine) canTake(host ident.Host) bool {
+	if _, ok := m.table.Member(host); !ok {
+		return false
+	}
+	if host == m.host {
+		return m.isMember() && m.wantsKeys()
+	}
+	for _, e := range m.live {
+		if e.Inc.Host == host {
+			return e.Condition == gossip.Ready
+		}
+	}
+	return false
+}
+
+// divide gives ranges to members by the room that they have.
+func (m *Machine) divide(spans []atlas.Span, others bool) []plan.Piece {
+	var shares []plan.Share
+	for _, e := range m.live {
+		if !m.canTake(e.Inc.Host) || (others && e.Inc.Host == m.host) {
+			continue
+		}
+		shares = append(shares, plan.Share{Host: e.Inc.Host, Weight: weightOf(e)})
+	}
+	if len(shares) == 0 {
+		return nil
+	}
+	heat := m.heat
+	if heat.Total() <= 0 || !others {
+		heat = m.fleet
+	}
+	return plan.Divide(spans, heat, shares)
+}
+
+// leastShare is the part of its capacity that a busy member counts for, so that
+// keys find an owner even when all are busy.
+const leastShare = 0.15
+
+// weightOf returns how much a member should take of keys that need an owner.
+func weightOf(e gossip.Entry) float64 {
+	capacity := float64(e.Load.Capacity)
+	if capacity <= 0 {
+		return max(1, float64(e.Slots))
+	}
+	room := capacity
+	if e.Load.Cold > 0 {
+		room /= 2
+	}
+	return max(room-float64(e.Load.Offered), leastShare*room)
+}
+
+func names(incs []ident.Incarnation) []string {
+	out := make([]string, 0, len(incs))
+	for _, inc := range incs {
+		out = append(out, inc.String())
+	}
+	return out
+}
--- a/peers/header.go
+++ b/peers/header.go
@@ -66,6 +66,46 @@
 	Left int64 `cbor:"10,keyasint,omitempty"`
 	// Confirm asks for the confirmation byte before the body is sent.
 	Confirm bool `cbor:"11,keyasint,omitempty"`
+
+	Host    string        `cbor:"12,keyasint,omitempty"`
+	Origin  ident.Service `cbor:"13,keyasint,omitempty"`
+	Point   uint32        `cbor:"14,keyasint,omitempty"`
+	Ordered bool          `cbor:"15,keyasint,omitempty"`
+	Terms   *termsHeader  `cbor:"16,keyasint,omitempty"`
+}
+
+// termsHeader carries calls.Terms; times are in microseconds.
+type termsHeader struct {
+	_          struct{} `cbor:",toarray"`
+	Route      string
+	Repeatable bool
+	Attempts   int
+	Priority   int
+	Target     int64
+	Timeout    int64
+	Spent      int64
+}
+
+func newTermsHeader(t calls.Terms) *termsHeader {
+	if t == (calls.Terms{}) {
+		return nil
+	}
+	return &termsHeader{
+		Route: t.Route, Repeatable: t.Repeatable, Attempts: t.Attempts, Priority: t.Priority,
+		Target: t.Target.Microseconds(), Timeout: t.Timeout.Microseconds(), Spent: t.Spent.Microseconds(),
+	}
+}
+
+func (h *termsHeader) terms() calls.Terms {
+	if h == nil {
+		return calls.Terms{}
+	}
+	return calls.Terms{
+		Route: h.Route, Repeatable: h.Repeatable, Attempts: h.Attempts, Priority: h.Priority,
+		Target:  time.Duration(h.Target) * time.Microsecond,
+		Timeout: time.Duration(h.Timeout) * time.Microsecond,
+		Spent:   time.Duration(h.Spent) * time.Microsecond,
+	}
 }
 
 // newCallHeader describes call as it leaves at now.
@@ -81,6 +121,11 @@
 		Idempotency: call.Idempotency,
 		Hops:        call.Hops + 1,
 		Confirm:     confirm,
+		Host:        call.Host,
+		Origin:      call.Origin,
+		Point:       call.Point,
+		Ordered:     call.Ordered,
+		Terms:       newTermsHeader(call.Terms),
 	}
 	if !deadline.IsZero() {
 		h.Left = max(1, deadline.Sub(now).Microseconds())
@@ -102,6 +147,11 @@
 		Length:      h.Length,
 		Idempotency: h.Idempotency,
 		Hops:        h.Hops,
+		Host:        h.Host,
+		Origin:      h.Origin,
+		Point:       h.Point,
+		Ordered:     h.Ordered,
+		Terms:       h.Terms.terms(),
 	}
 	if c.Header == nil {
 		c.Header = http.Header{}
@@ -139,6 +189,9 @@
 	// After is the time to the retry in microseconds.
 	After int64  `cbor:"8,keyasint,omitempty"`
 	Cause string `cbor:"9,keyasint,omitempty"`
+	// Wait is how long a call would wait at the answering daemon, in
+	// microseconds.
+	Wait int64 `cbor:"10,keyasint,omitempty"`
 }
 
 // maxCause is the longest cause passed on, in bytes.
--- /dev/null
+++ b/plan/balance.go
@@ -0,0 +1,213 @@
+package plan
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/monsoonmoor/monsoonmoor/atlas"
+	"github.com/monsoonmoor/monsoonmoor/ident"
+)
+
+const (
+	// slack is how far the utilization of an owner may lie above the fleet's
+	// before keys are moved, as a part of its capacity.
+	slack = 0.10
+	// leastRate is the least rate, in calls per second, that is worth a move.
+	leastRate = 2.0
+	// maxRows is the number of ranges of one member beyond which nothing is cut
+	// out of them: the answer to a heartbeat has room for some eighty.
+	maxRows = 48
+	// coldDiscount is the part of its capacity that a member counts for while its
+	// upstream is slow after a start.
+	coldDiscount = 0.5
+)
+
+// Member is one member's load as the others see it.
+type Member struct {
+	Host ident.Host
+	// Offered is the rate of calls for its keys, Capacity the rate that its
+	// upstream can serve, both per second.
+	Offered, Capacity float64
+	// Cold is how much longer the upstream is slow after its start.
+	Cold time.Duration
+	// Rows is the number of ranges that the member owns.
+	Rows int
+	// Keys is the number of keys that the member owns.
+	Keys int
+}
+
+// room returns the capacity that a member counts for.
+func (m Member) room() float64 {
+	if m.Cold > 0 {
+		return m.Capacity * coldDiscount
+	}
+	return m.Capacity
+}
+
+// Moves returns the ranges that the member self should give away now, to whom.
+// Every member reckons with the same loads, so an owner's excess is spread over
+// the members with room in proportion, and several owners do not fill the same
+// one.
+func Moves(self ident.Host, rows []atlas.Row, heat *Heat, members []Member) []Piece {
+	i := slices.IndexFunc(members, func(m Member) bool { return m.Host == self })
+	if i < 0 || len(members) < 2 {
+		return nil
+	}
+	offered, room := 0.0, 0.0
+	for _, m := range members {
+		offered += m.Offered
+		room += m.room()
+	}
+	if room <= 0 || offered <= 0 {
+		return nil
+	}
+	level := offered / room
+	excess := members[i].Offered - members[i].room()*level
+	if excess < max(leastRate, slack*members[i].room()) {
+		return nil
+	}
+	var takers []Member
+	lack, surplus := 0.0, 0.0
+	for _, m := range members {
+		gap := m.room()*level - m.Offered
+		if gap > 0 && m.Rows < maxRows {
+			takers = append(takers, m)
+			lack += gap
+		}
+		if gap < 0 {
+			surplus -= gap
+		}
+	}
+	if lack <= 0 {
+		return nil
+	}
+	slices.SortFunc(takers, func(a, b Member) int {
+		return cmp.Compare(b.room()*level-b.Offered, a.room()*level-a.Offered)
+	})
+	var pieces []Piece
+	left := slices.Clone(rows)
+	for _, taker := range takers {
+		gap := taker.room()*level - taker.Offered
+		amount := min(gap*excess/max(surplus, excess), excess)
+		if amount < leastRate {
+			continue
+		}
+		var given []atlas.Span
+		given, left = give(left, heat, amount)
+		for _, s := range given {
+			pieces = append(pieces, Piece{Span: s, To: taker.Host})
+		}
+	}
+	return pieces
+}
+
+// give picks ranges that carry about the amount, as few as possible, and returns
+// them and the rows that are left. It prefers a whole row, then the end of one.
+func give(rows []atlas.Row, heat *Heat, amount float64) ([]atlas.Span, []atlas.Row) {
+	best, bestRate := -1, 0.0
+	rates := make([]float64, len(rows))
+	for i, r := range rows {
+		rates[i] = heat.Rate(r.Span)
+		if rates[i] <= amount*1.15 && rates[i] >= amount*0.6 && rates[i] > bestRate {
+			best, bestRate = i, rates[i]
+		}
+	}
+	if best >= 0 {
+		span := rows[best].Span
+		return []atlas.Span{span}, slices.Delete(slices.Clone(rows), best, best+1)
+	}
+	// The row with the most load is cut, so that small ranges stay whole.
+	for i := range rows {
+		if rates[i] > amount && (best < 0 || rates[i] > rates[best]) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return giveSmall(rows, rates, amount)
+	}
+	row := rows[best]
+	cut := heat.Split(row.Span, amount, 0)
+	if cut >= row.Span.To {
+		return nil, rows
+	}
+	head := atlas.NewSpan(row.Span.From, cut)
+	if rate := heat.Rate(head); rate > amount*1.5 {
+		// The last key of the head is a hot one: the head without it, or the tail
+		// behind it, may be closer to the amount.
+		return giveAround(rows, best, heat, cut, amount)
+	}
+	rest := slices.Clone(rows)
+	rest[best].Span.From = cut + 1
+	return []atlas.Span{head}, rest
+}
+
+// giveAround gives away the part of a row before or behind a hot key.
+func giveAround(rows []atlas.Row, i int, heat *Heat, hot atlas.Point, amount float64) ([]atlas.Span, []atlas.Row) {
+	span := rows[i].Span
+	rest := slices.Clone(rows)
+	tail := atlas.Span{}
+	tailRate := 0.0
+	if hot < span.To {
+		tail = atlas.NewSpan(hot+1, span.To)
+		tailRate = heat.Rate(tail)
+	}
+	if tailRate >= amount*0.3 && tailRate <= amount*1.15 {
+		rest[i].Span.To = hot
+		return []atlas.Span{tail}, rest
+	}
+	if hot == span.From {
+		if tailRate > amount {
+			// The hot key is the first one: cut from the other end.
+			cut := cutTail(tail, heat, amount)
+			rest[i].Span.To = cut.From - 1
+			return []atlas.Span{cut}, rest
+		}
+		return nil, rows
+	}
+	head := atlas.NewSpan(span.From, hot-1)
+	if heat.Rate(head) < leastRate {
+		return nil, rows
+	}
+	rest[i].Span.From = hot
+	return []atlas.Span{head}, rest
+}
+
+// cutTail returns the end of a range that carries about the amount.
+func cutTail(s atlas.Span, heat *Heat, amount float64) atlas.Span {
+	keep := heat.Rate(s) - amount
+	cut := heat.Split(s, keep, 0)
+	if cut >= s.To {
+		return s
+	}
+	return atlas.NewSpan(cut+1, s.To)
+}
+
+// giveSmall gives whole rows, the busiest first, until the amount is reached.
+func giveSmall(rows []atlas.Row, rates []float64, amount float64) ([]atlas.Span, []atlas.Row) {
+	order := make([]int, len(rows))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortFunc(order, func(a, b int) int { return cmp.Compare(rates[b], rates[a]) })
+	var given []atlas.Span
+	gone := make(map[int]bool)
+	for _, i := range order {
+		if rates[i] <= 0 || rates[i] > amount || len(given) >= maxGiven {
+			continue
+		}
+		given = append(given, rows[i].Span)
+		gone[i] = true
+		amount -= rates[i]
+	}
+	var rest []atlas.Row
+	for i, r := range rows {
+		if !gone[i] {
+			rest = append(rest, r)
+		}
+	}
+	return given, rest
+}
+
+// maxGiven is the number of ranges that go to one member at a time.
+const maxGiven = 4
--- /dev/null
+++ b/steer/budget.go
@@ -0,0 +1,81 @@
+package steer
+
+import (
+	"sync"
+	"time"
+
+	"github.com/monsoonmoor/monsoonmoor/ident"
+)
+
+// Budget bounds the calls that reach upstreams of a service beyond the first
+// sending of each. It is safe for concurrent use.
+type Budget struct {
+	// ratio is the part of the calls sent that may be sent again, slack a number
+	// that may be besides, both within the window.
+	ratio  float64
+	slack  float64
+	window time.Duration
+
+	mu       sync.Mutex
+	services map[ident.Service]*ledger
+}
+
+// buckets is the number of parts of a window.
+const buckets = 10
+
+// caution is the part of the budget that is used: windows of different daemons
+// do not begin together.
+const caution = 0.8
+
+// ledger counts the calls of one service within the window.
+type ledger struct {
+	at    int64
+	sent  [buckets]int
+	again [buckets]int
+}
+
+// NewBudget returns a budget.
+func NewBudget(ratio, slack float64, window time.Duration) *Budget {
+	return &Budget{ratio: ratio, slack: slack, window: window, services: make(map[ident.Service]*ledger)}
+}
+
+// Sent counts the first sending of a call.
+func (b *Budget) Sent(now time.Time, service ident.Service) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	l := b.ledger(now, service)
+	l.sent[l.at%buckets]++
+}
+
+// Spend takes one repeated sending from the budget, if there is one.
+func (b *Budget) Spend(now time.Time, service ident.Service) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	l := b.ledger(now, service)
+	sent, again := 0, 0
+	for i := range buckets {
+		sent += l.sent[i]
+		again += l.again[i]
+	}
+	if float64(again+1) > caution*(b.ratio*float64(sent)+b.slack) {
+		return false
+	}
+	l.again[l.at%buckets]++
+	return true
+}
+
+// ledger returns the ledger of a service as of now.
+func (b *Budget) ledger(now time.Time, service ident.Service) *ledger {
+	at := now.UnixNano() / int64(b.window/buckets)
+	l, ok := b.services[service]
+	if !ok {
+		l = &ledger{at: at}
+		b.services[service] = l
+	}
+	for steps := 0; l.at < at && steps < buckets; steps++ {
+		l.at++
+		l.sent[l.at%buckets], l.again[l.at%buckets] = 0, 0
+	}
+	l.at = max(l.at, at)
+	return l
+}
