Wait for all upstreams before the first division of keys

Cause: upstreams announce themselves one after the other, so the first member got all keys, and members without measured capacity were never given any. Change: the first owners wait up to 2.5 s for the upstreams of all live daemons of the service; unmeasured members count with the mean capacity of a slot.

--- a/owner/moves.go
+++ b/owner/moves.go
@@ -85,10 +85,11 @@
 			Host:     e.Inc.Host,
 			Offered:  float64(e.Load.Offered),
 			Capacity: float64(e.Load.Capacity),
+			Slots:    int(e.Slots),
 			Cold:     time.Duration(e.Load.Cold) * time.Millisecond,
 			Rows:     len(rows),
 			Keys:     atlas.Keys(atlas.Spans(rows)),
 		})
 	}
-	return members
+	return plan.Complete(members)
 }
--- a/owner/propose.go
+++ b/owner/propose.go
@@ -11,8 +11,10 @@
 
 const (
 	// settleTime is how long keys without owner wait for members that are still
-	// joining.
+	// joining, and foundTime how long the first owners wait for the upstreams of
+	// all daemons of the service: no key is served before, and none moves after.
 	settleTime = time.Second
+	foundTime  = 2500 * time.Millisecond
 	// stepIn is how long each further member waits before it does a duty that
 	// another one is first in line for.
 	stepIn = 400 * time.Millisecond
@@ -214,7 +216,10 @@
 	}
 	waited := now.Sub(m.unowned)
 	wait := stepIn * time.Duration(m.turn())
-	if m.isJoining() {
+	switch {
+	case len(m.table.Rows()) == 0 && m.isStarting():
+		wait += foundTime
+	case m.isJoining():
 		wait += settleTime
 	}
 	if waited < wait {
@@ -242,6 +247,16 @@
 	return false
 }
 
+// isStarting reports whether a live daemon of the service has no upstream yet.
+func (m *Machine) isStarting() bool {
+	for _, e := range m.live {
+		if _, ok := m.table.Member(e.Inc.Host); e.Service == m.service && !ok {
+			return true
+		}
+	}
+	return false
+}
+
 // turn returns how many live members are before this one in line for a duty that
 // any member may do.
 func (m *Machine) turn() int {
--- a/plan/balance.go
+++ b/plan/balance.go
@@ -29,6 +29,8 @@
 	// Offered is the rate of calls for its keys, Capacity the rate that its
 	// upstream can serve, both per second.
 	Offered, Capacity float64
+	// Slots is the number of calls that the upstream runs at once.
+	Slots int
 	// Cold is how much longer the upstream is slow after its start.
 	Cold time.Duration
 	// Rows is the number of ranges that the member owns.
@@ -45,6 +47,27 @@
 	return m.Capacity
 }
 
+// Complete gives members whose capacity was not measured yet the mean capacity of
+// the others' slots.
+func Complete(members []Member) []Member {
+	capacity, slots := 0.0, 0
+	for _, m := range members {
+		if m.Capacity > 0 {
+			capacity += m.Capacity
+			slots += m.Slots
+		}
+	}
+	if slots == 0 {
+		return members
+	}
+	for i := range members {
+		if members[i].Capacity <= 0 {
+			members[i].Capacity = capacity / float64(slots) * float64(members[i].Slots)
+		}
+	}
+	return members
+}
+
 // Moves returns the ranges that the member self should give away now, to whom.
 // Every member reckons with the same loads, so an owner's excess is spread over
 // the members with room in proportion, and several owners do not fill the same
