End waits before the deadline, know later attempts, drain within the grace period

Cause: calls waited at an owner for their key, or in its queue, until their deadline had passed, and were then answered with an unknown outcome or not at all; a daemon that ended waited for a moment without any request, which never comes under load. Ruled out: a fault of the transport (the requests never reached an upstream).

--- a/gossip/socket.go
+++ b/gossip/socket.go
@@ -12,9 +12,9 @@
 
 // Socket carries messages between daemons as datagrams. Messages may be lost.
 type Socket struct {
-	conn   *net.UDPConn
-	log    logr.Logger
-	done   sync.WaitGroup
+	conn *net.UDPConn
+	log  logr.Logger
+	done sync.WaitGroup
 }
 
 // Listen opens a socket on a UDP address and passes every message that arrives
--- a/listen/server.go
+++ b/listen/server.go
@@ -184,7 +184,7 @@
 			return fmt.Errorf("empty accept queue of %s: %w", s.listener.Addr(), ctx.Err())
 		case <-timer.Chan():
 		}
-		if s.listener.accepted.Load() == before && s.Active() == 0 {
+		if s.listener.accepted.Load() == before {
 			return nil
 		}
 	}
--- a/mesh/local.go
+++ b/mesh/local.go
@@ -15,6 +15,13 @@
 	// moveWait is how long a call waits at the owner for its key to be granted or
 	// handed over.
 	moveWait = 500 * time.Millisecond
+	// moveRetry is when a caller should come back whose key is being handed over.
+	moveRetry = 200 * time.Millisecond
+	// laterAttempt is the time that a caller has spent from which its call counts
+	// as a later attempt.
+	laterAttempt = 50 * time.Millisecond
+	// answerMargin is kept for the way of an answer back to the caller.
+	answerMargin = 15 * time.Millisecond
 	// drainMargin is how long before the end of the drain an upstream that leaves
 	// gets its last call.
 	drainMargin = 400 * time.Millisecond
@@ -92,9 +99,9 @@
 		case place == owner.Elsewhere || place == owner.Nowhere:
 			return "", calls.NewNotRun(calls.ReasonNotOwner, calls.WithHint(ident.NewIncarnation(host, 0)))
 		}
-		left := min(moveWait-now.Sub(begun), call.Deadline.Sub(now))
+		left := min(moveWait-now.Sub(begun), n.patience(call, begun, now))
 		if left <= 0 {
-			return "", calls.NewNotRun(calls.ReasonMoving, calls.WithRetryAfter(moveWait/2))
+			return "", calls.NewNotRun(calls.ReasonMoving, calls.WithRetryAfter(moveRetry))
 		}
 		timer := n.clock.NewTimer(left)
 		select {
@@ -108,6 +115,20 @@
 	}
 }
 
+// patience returns how much longer a call may wait for its key. A first attempt
+// waits while it can still be answered within its target, and for a short while
+// in any case: its caller can come back. For a later one there is nothing to come
+// back for, so it waits while it can be answered at all.
+func (n *Node) patience(call *calls.Call, begun, now time.Time) time.Duration {
+	service := n.gate.Service(call.Terms.Route)
+	last := call.Deadline.Sub(now) - service - answerMargin
+	if call.Terms.Spent > laterAttempt {
+		return last
+	}
+	target := begun.Add(max(call.Terms.Target-service, call.Terms.Target/8))
+	return min(target.Sub(now), last)
+}
+
 // look returns where the call can run now. It is called with mu held.
 func (l *local) look(now time.Time, call *calls.Call) (owner.Place, ident.Host, string, *calls.Error) {
 	n := l.node
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -52,6 +52,7 @@
 	heat   *plan.Heat
 	fleet  *plan.Heat
 	waits  *waits
+	given  *allowances
 
 	// mu guards what the daemon believes of the fleet, the leases and the keys.
 	mu       sync.Mutex
@@ -89,7 +90,7 @@
 	n := &Node{
 		settings: settings, ports: ports,
 		clock: clockwork.NewRealClock(), log: logr.Discard(), scope: tally.NoopScope,
-		plans: vhost.NewHolder(), heat: plan.NewHeat(), fleet: plan.NewHeat(),
+		plans: vhost.NewHolder(), heat: plan.NewHeat(), fleet: plan.NewHeat(), given: newAllowances(),
 		tables: make(map[ident.Service]*table), changed: make(chan struct{}),
 		kicks: make(chan struct{}, 1), ctx: ctx, cancel: cancel,
 	}
@@ -182,11 +183,18 @@
 	}
 }
 
-// Run implements calls.Executor for callers of this daemon.
+// Run implements calls.Executor for callers of this daemon. The call's deadline is
+// the caller's; it is brought forward to the route's timeout here.
 func (n *Node) Run(ctx context.Context, call *calls.Call) (*calls.Reply, error) {
+	now := n.clock.Now()
 	if call.Ordered {
 		n.fleet.Touch(call.Point)
 	}
+	left := call.Deadline.Sub(now)
+	call.Terms.Spent = n.given.spent(now, call.Terms.Route, left)
+	if t := call.Terms.Timeout; t > 0 && t < left {
+		call.Deadline = now.Add(t)
+	}
 	return n.router.Run(ctx, call)
 }
 
--- a/peers/web.go
+++ b/peers/web.go
@@ -46,6 +46,10 @@
 	docPath  = "/doc/"
 )
 
+// maxAtOnce is the largest answer that is read to its end before any of it is
+// passed on, in bytes.
+const maxAtOnce = 1 << 20
+
 // maxDoc is the largest document that a peer may send, in bytes.
 const maxDoc = 4 << 20
 
@@ -247,10 +251,18 @@
 		_ = response.Body.Close()
 		return nil, failure
 	}
-	return &calls.Reply{
-		Status: h.Status, Header: h.Header, Length: h.Length,
-		Body: calls.WholeBody(response.Body, h.Length),
-	}, nil
+	reply := &calls.Reply{Status: h.Status, Header: h.Header, Length: h.Length}
+	if h.Length < 0 || h.Length > maxAtOnce {
+		reply.Body = calls.WholeBody(response.Body, h.Length)
+		return reply, nil
+	}
+	defer func() { _ = response.Body.Close() }()
+	data := make([]byte, h.Length)
+	if _, err := io.ReadFull(response.Body, data); err != nil {
+		return nil, forwardError(ctx, fmt.Errorf("read answer's body: %w", err))
+	}
+	reply.Body = calls.NewBuffered(data)
+	return reply, nil
 }
 
 // serveCall runs a call that a peer forwards.
--- a/sched/gate.go
+++ b/sched/gate.go
@@ -141,6 +141,13 @@
 	})
 }
 
+// Service returns the mean service time of a class.
+func (g *Gate) Service(class string) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.queue.Service(class)
+}
+
 // Wait returns how long a call of the least rank would wait.
 func (g *Gate) Wait() time.Duration {
 	g.mu.Lock()
--- a/sched/queue.go
+++ b/sched/queue.go
@@ -18,6 +18,8 @@
 	// leastRetry is the shortest time after which a refused caller is told to
 	// come back.
 	leastRetry = 60 * time.Millisecond
+	// answerMargin is kept for the way of an answer back to the caller.
+	answerMargin = 15 * time.Millisecond
 	// maxWaiting is the number of calls that may wait for each slot: more could
 	// not be served in any useful time.
 	maxWaiting = 12
@@ -205,7 +207,7 @@
 // others have to wait on.
 func (q *Queue) Next(now time.Time) (*Waiter, Verdict) {
 	for i, w := range q.waiting {
-		if w.gone || now.Add(w.service/2).After(w.demand.GiveUp) {
+		if w.gone || now.Add(w.service/2+answerMargin).After(w.demand.GiveUp) {
 			q.waiting = slices.Delete(q.waiting, i, i+1)
 			if w.gone {
 				return q.Next(now)
--- a/steer/router.go
+++ b/steer/router.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -16,6 +17,7 @@
 	"github.com/monsoonmoor/monsoonmoor/calls"
 	"github.com/monsoonmoor/monsoonmoor/ident"
 	"github.com/monsoonmoor/monsoonmoor/owner"
+	"github.com/monsoonmoor/monsoonmoor/steady"
 )
 
 const (
@@ -127,30 +129,57 @@
 	// seen is the number of upstreams that may have seen the call.
 	seen int
 	last *calls.Error
+	// answer is an upstream's failure that was worth another try. It is returned
+	// if nothing better comes.
+	answer *calls.Reply
 }
 
 // Run implements calls.Executor.
 func (r *Router) Run(ctx context.Context, call *calls.Call) (*calls.Reply, error) {
+	ctx, cancel := steady.WithDeadline(ctx, r.clock, call.Deadline)
+	reply, err := r.run(ctx, call)
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	if _, whole := reply.Body.(*calls.Buffered); whole {
+		cancel()
+		return reply, nil
+	}
+	reply.Body = &lasting{ReadCloser: reply.Body, end: cancel}
+	return reply, nil
+}
+
+// lasting keeps a call's context until its answer was read.
+type lasting struct {
+	io.ReadCloser
+	end context.CancelFunc
+}
+
+// Close implements io.Closer.
+func (l *lasting) Close() error {
+	defer l.end()
+	return l.ReadCloser.Close()
+}
+
+func (r *Router) run(ctx context.Context, call *calls.Call) (*calls.Reply, error) {
 	j := &journey{router: r, call: call, begun: r.clock.Now()}
 	r.budget.Sent(j.begun, call.Service)
 	for range maxSteps {
 		target, refusal := j.next(ctx)
 		if refusal != nil {
-			return nil, j.end(refusal)
+			return j.end(refusal)
 		}
 		reply, err := r.send(ctx, target, call)
 		if again := j.judge(ctx, target, reply, err); !again {
 			if err != nil {
-				return nil, j.end(calls.AsError(err))
+				return j.end(calls.AsError(err))
 			}
 			return reply, nil
 		}
-		if reply != nil {
-			_ = reply.Body.Close()
-		}
 		rewind(call)
 	}
-	return nil, j.end(j.last)
+	return j.end(j.last)
 }
 
 func rewind(call *calls.Call) {
@@ -159,13 +188,16 @@
 	}
 }
 
-// end returns the outcome of a call that is given up. Once an upstream may have
+// end returns what becomes of a call that is given up. Once an upstream may have
 // run the call, a later refusal does not prove that it never ran.
-func (j *journey) end(err *calls.Error) *calls.Error {
-	if j.last != nil && j.last.Outcome() == calls.Unknown && err.Outcome() == calls.NotRun {
-		return j.last
+func (j *journey) end(err *calls.Error) (*calls.Reply, error) {
+	switch {
+	case j.answer != nil:
+		return j.answer, nil
+	case j.last != nil && j.last.Outcome() == calls.Unknown && err.Outcome() == calls.NotRun:
+		return nil, j.last
 	}
-	return err
+	return nil, err
 }
 
 // next returns the daemon that the call should go to now.
@@ -293,6 +325,9 @@
 // judgeAnswer decides about an upstream's answer: a failure of a call that may
 // run twice is worth another try elsewhere.
 func (j *journey) judgeAnswer(now time.Time, target Target, reply *calls.Reply) bool {
+	if _, whole := reply.Body.(*calls.Buffered); !whole {
+		return false
+	}
 	if reply.Status < http.StatusInternalServerError || !j.call.Terms.Repeatable || j.call.Ordered {
 		return false
 	}
@@ -300,6 +335,7 @@
 	if j.seen >= j.call.Terms.Attempts || j.call.Deadline.Sub(now) < leastLeft || !j.spend(now) {
 		return false
 	}
+	j.answer = reply
 	j.last = calls.NewUnknown(calls.ReasonUpstreamLost, calls.WithCause(errFailed))
 	j.mark(target, j.last)
 	return true
