Walk the ownership decisions through losses, freezes, cuts and lost writes

Change: a model of daemons, upstreams, witnesses and store around the real decision code; the walk checks that no key has two holders, that fencing tokens rise and that every key has a holder in the end. Broken one at a time, four rules make it fail.

--- /dev/null
+++ b/owner/world_test.go
@@ -0,0 +1,522 @@
+package owner_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/monsoonmoor/monsoonmoor/atlas"
+	"github.com/monsoonmoor/monsoonmoor/gossip"
+	"github.com/monsoonmoor/monsoonmoor/ident"
+	"github.com/monsoonmoor/monsoonmoor/lease"
+	"github.com/monsoonmoor/monsoonmoor/owner"
+)
+
+const (
+	step     = 10 * time.Millisecond
+	interval = 300 * time.Millisecond
+	hold     = time.Second
+	service  = ident.Service("events")
+)
+
+var (
+	epoch = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+	terms = lease.Terms{Length: 1400 * time.Millisecond, Renewal: 150 * time.Millisecond, Drift: 0.05}
+)
+
+// rules are what a walk may break to see that it is needed.
+type rules struct {
+	// haste makes witnesses vote without waiting for the lease to end.
+	haste bool
+	// unconditional makes the store take writes whose condition does not hold.
+	unconditional bool
+	// slow makes upstreams' clocks run far slower than is allowed for.
+	slow bool
+	// mute makes upstreams keep silent about ranges that they still work on.
+	mute bool
+}
+
+// held is a range that an upstream holds.
+type held struct {
+	span  atlas.Span
+	fence atlas.Fence
+	until time.Time
+}
+
+// upstream follows the protocol of grants: it holds what it was granted for the
+// time counted from its heartbeat, and lets go of anything else.
+type upstream struct {
+	life     int64
+	up       bool
+	number   uint64
+	next     time.Time
+	holds    []held
+	released []owner.Released
+	busy     time.Time
+	back     time.Time
+	highest  map[atlas.Span]atlas.Fence
+}
+
+// daemon is one machine with what surrounds it.
+type daemon struct {
+	host     ident.Host
+	boot     uint64
+	machine  *owner.Machine
+	witness  *lease.Witness
+	up       bool
+	back     time.Time
+	frozen   time.Time
+	cut      time.Time
+	noStore  time.Time
+	inbox    []gossip.Message
+	reading  time.Time
+	writing  *pending
+	upstream *upstream
+}
+
+// pending is a write on its way.
+type pending struct {
+	proposal *atlas.Table
+	at       time.Time
+	lost     bool
+	done     bool
+	outcome  owner.Outcome
+}
+
+// message is a datagram on its way.
+type message struct {
+	from, to ident.Host
+	at       time.Time
+	m        gossip.Message
+}
+
+// world holds everything and the clock.
+type world struct {
+	rng     *rand.Rand
+	now     time.Time
+	rules   rules
+	daemons []*daemon
+	flying  []message
+	late    []*pending
+	newest  *atlas.Table
+	noStore time.Time
+	// lossless keeps datagrams from being lost.
+	lossless bool
+	// tokens is the highest fencing token under which anyone held a key of each
+	// probed key, and who did.
+	tokens  map[atlas.Point]atlas.Fence
+	holders map[atlas.Point]string
+	faults  []string
+	log     []string
+}
+
+// probes are the keys that are looked at.
+var probes = []atlas.Point{0, 1000, 9000, 20000, 33000, 48000, 65535}
+
+func newWorld(seed uint64, size int, r rules) *world {
+	w := &world{
+		rng: rand.New(rand.NewPCG(seed, 77)), now: epoch, rules: r, newest: atlas.New(service),
+		tokens: make(map[atlas.Point]atlas.Fence), holders: make(map[atlas.Point]string),
+	}
+	for i := range size {
+		d := &daemon{host: ident.Host(fmt.Sprintf("h%d", i)), upstream: &upstream{}}
+		w.daemons = append(w.daemons, d)
+		w.start(d)
+		w.startUpstream(d)
+	}
+	return w
+}
+
+func (w *world) start(d *daemon) {
+	d.boot = uint64(w.now.UnixMilli())
+	self := ident.NewIncarnation(d.host, d.boot)
+	d.machine = owner.New(self, service, w.now, owner.WithTerms(terms), owner.WithHold(hold), owner.WithSeed(w.rng.Uint64()))
+	witnessTerms := terms
+	if w.rules.haste {
+		witnessTerms.Length = 0
+	}
+	d.witness = lease.NewWitness(self, witnessTerms, w.now)
+	d.up, d.inbox, d.writing = true, nil, nil
+	d.reading = w.now.Add(w.delay(100))
+}
+
+func (w *world) startUpstream(d *daemon) {
+	*d.upstream = upstream{life: w.now.UnixMilli(), up: true, next: w.now.Add(w.delay(200)), highest: make(map[atlas.Span]atlas.Fence)}
+}
+
+func (w *world) delay(ms int) time.Duration {
+	return time.Duration(1+w.rng.IntN(ms)) * time.Millisecond
+}
+
+func (w *world) find(host ident.Host) *daemon {
+	for _, d := range w.daemons {
+		if d.host == host {
+			return d
+		}
+	}
+	return nil
+}
+
+func (w *world) runs(d *daemon) bool { return d.up && !w.now.Before(d.frozen) }
+
+func (w *world) reaches(a, b *daemon) bool {
+	return !w.now.Before(a.cut) && !w.now.Before(b.cut)
+}
+
+func (w *world) storeUp(d *daemon) bool {
+	return !w.now.Before(w.noStore) && !w.now.Before(d.noStore) && !w.now.Before(d.cut)
+}
+
+// live is what a daemon's gossip knows: who runs and can be reached.
+func (w *world) live(d *daemon) []gossip.Entry {
+	var entries []gossip.Entry
+	for _, o := range w.daemons {
+		if o != d && (!w.runs(o) || !w.reaches(d, o)) {
+			continue
+		}
+		e := gossip.Entry{Inc: ident.NewIncarnation(o.host, o.boot), Service: service, Slots: 10, Condition: gossip.Absent}
+		if _, present, leaving := o.machine.Upstream(); present {
+			e.Condition = gossip.Ready
+			if leaving {
+				e.Condition = gossip.Draining
+			}
+		}
+		entries = append(entries, e)
+	}
+	return entries
+}
+
+// play advances the world by one step.
+func (w *world) play() {
+	w.now = w.now.Add(step)
+	w.revive()
+	w.deliver()
+	for _, d := range w.daemons {
+		w.beat(d)
+		w.tick(d)
+	}
+	w.storeStep()
+	w.check()
+}
+
+func (w *world) revive() {
+	for _, d := range w.daemons {
+		if !d.up && !w.now.Before(d.back) {
+			w.start(d)
+		}
+		if !d.upstream.up && !w.now.Before(d.upstream.back) {
+			w.startUpstream(d)
+		}
+	}
+}
+
+func (w *world) send(from *daemon, to ident.Host, m gossip.Message) {
+	w.flying = append(w.flying, message{from: from.host, to: to, at: w.now.Add(w.delay(30)), m: m})
+}
+
+func (w *world) deliver() {
+	var left []message
+	for _, f := range w.flying {
+		if w.now.Before(f.at) {
+			left = append(left, f)
+			continue
+		}
+		from, to := w.find(f.from), w.find(f.to)
+		if to == nil || !to.up || !w.reaches(from, to) || (!w.lossless && w.rng.IntN(20) == 0) {
+			continue
+		}
+		to.inbox = append(to.inbox, f.m)
+	}
+	w.flying = left
+}
+
+func (w *world) take(d *daemon, m gossip.Message) {
+	self := ident.NewIncarnation(d.host, d.boot)
+	switch {
+	case m.Renewal != nil:
+		reply := gossip.Message{From: self, Renewed: m.Renewal}
+		if !d.witness.Renew(w.now, m.From) {
+			reply = gossip.Message{From: self, Vote: &gossip.Ballot{Owner: m.From, Witness: self}}
+		}
+		w.send(d, m.From.Host, reply)
+	case m.Renewed != nil:
+		d.machine.Renewed(m.From, m.Renewed.Number)
+	case m.Ballot != nil:
+		if d.witness.Vote(w.now, m.Ballot.Owner, m.Ballot.Witness) {
+			w.send(d, m.From.Host, gossip.Message{From: self, Vote: m.Ballot})
+		}
+	case m.Vote != nil:
+		d.machine.Voted(m.Vote.Owner, m.Vote.Witness)
+		if m.Vote.Owner.Host == d.host {
+			d.machine.Fenced(m.Vote.Witness, m.Vote.Owner)
+		}
+	}
+}
+
+// tick lets a daemon act.
+func (w *world) tick(d *daemon) {
+	if !w.runs(d) {
+		return
+	}
+	inbox := d.inbox
+	d.inbox = nil
+	for _, m := range inbox {
+		w.take(d, m)
+	}
+	if !w.now.Before(d.reading) && w.storeUp(d) {
+		d.reading = w.now.Add(w.delay(200))
+		d.machine.Read(w.now, w.newest)
+	}
+	a := d.machine.Tick(w.now, w.live(d))
+	for _, m := range a.Messages {
+		w.send(d, m.To, m.Message)
+	}
+	for _, n := range a.Notes {
+		w.log = append(w.log, fmt.Sprintf("%6d %s %s %v", w.now.Sub(epoch).Milliseconds(), d.host, n.Text, n.Pairs))
+	}
+	if a.Proposal != nil {
+		d.writing = &pending{proposal: a.Proposal, at: w.now.Add(w.delay(40)), lost: w.rng.IntN(10) == 0}
+	}
+	w.settle(d)
+}
+
+// settle tells a daemon what became of its write, as the daemon's own code does:
+// a write without answer is repeated until it is known.
+func (w *world) settle(d *daemon) {
+	p := d.writing
+	if p == nil || !p.done {
+		return
+	}
+	if p.outcome == owner.Unknown {
+		d.writing = &pending{proposal: p.proposal, at: w.now.Add(w.delay(200)), lost: w.rng.IntN(3) == 0}
+		return
+	}
+	d.writing = nil
+	if p.outcome == owner.Lost {
+		d.machine.Read(w.now, w.newest)
+	}
+	d.machine.Settled(w.now, p.proposal, p.outcome)
+}
+
+// storeStep carries out the writes that have arrived.
+func (w *world) storeStep() {
+	for _, d := range w.daemons {
+		p := d.writing
+		if p == nil || p.done || w.now.Before(p.at) {
+			continue
+		}
+		if !w.storeUp(d) {
+			p.done, p.outcome = true, owner.Refused
+			if w.rng.IntN(2) == 0 {
+				p.outcome = owner.Unknown
+			}
+			continue
+		}
+		p.done, p.outcome = true, w.apply(p.proposal)
+		if p.lost {
+			p.outcome = owner.Unknown
+		}
+		if w.rng.IntN(15) == 0 {
+			// The same write may arrive once more, much later.
+			w.late = append(w.late, &pending{proposal: p.proposal, at: w.now.Add(w.delay(3000))})
+		}
+	}
+	for i, p := range w.late {
+		if p != nil && !w.now.Before(p.at) {
+			w.apply(p.proposal)
+			w.late[i] = nil
+		}
+	}
+}
+
+func (w *world) apply(t *atlas.Table) owner.Outcome {
+	by, number := t.Writer()
+	newestBy, newestNumber := w.newest.Writer()
+	switch {
+	case t.Version() == w.newest.Version()+1, w.rules.unconditional && t.Version() > w.newest.Version()-3:
+		if w.rules.unconditional {
+			t = renumbered(t, w.newest.Version()+1)
+		}
+		w.newest = t
+		return owner.Written
+	case t.Version() == w.newest.Version() && by == newestBy && number == newestNumber:
+		return owner.Written
+	}
+	return owner.Lost
+}
+
+// renumbered returns a table as if it had another version.
+func renumbered(t *atlas.Table, version uint64) *atlas.Table {
+	data, err := t.Encode()
+	if err != nil {
+		panic(err)
+	}
+	n, err := atlas.Decode(version, data)
+	if err != nil {
+		panic(err)
+	}
+	return n
+}
+
+// beat lets an upstream send its heartbeat and take the answer.
+func (w *world) beat(d *daemon) {
+	u := d.upstream
+	if !u.up {
+		if w.runs(d) && w.rng.IntN(10) == 0 {
+			d.machine.Down(w.now, true)
+		}
+		return
+	}
+	u.expire(w.now)
+	if w.now.Before(u.next) || !w.runs(d) {
+		return
+	}
+	u.number++
+	u.next = w.now.Add(interval)
+	hb := owner.Heartbeat{Life: u.life, ID: fmt.Sprint(u.life), Number: u.number, Released: u.released}
+	for _, h := range u.holds {
+		if !w.rules.mute {
+			hb.Holds = append(hb.Holds, owner.Held{Span: h.span, Fence: h.fence})
+		}
+	}
+	d.machine.Heartbeat(w.now, hb)
+	g := d.machine.Grant(w.now)
+	u.released = nil
+	if !g.Known {
+		return
+	}
+	w.grant(d, g)
+}
+
+func (u *upstream) expire(now time.Time) {
+	kept := u.holds[:0]
+	for _, h := range u.holds {
+		if now.Before(h.until) {
+			kept = append(kept, h)
+		}
+	}
+	u.holds = kept
+}
+
+// grant makes an upstream hold what the answer says, and nothing else once its
+// work is done.
+func (w *world) grant(d *daemon, g owner.Grant) {
+	u := d.upstream
+	clock := 1.02
+	if w.rules.slow {
+		clock = 1.6
+	}
+	until := w.now.Add(time.Duration(float64(g.Hold) * clock))
+	var spans []atlas.Span
+	for _, r := range g.Rows {
+		spans = append(spans, r.Span)
+	}
+	var kept []held
+	for _, h := range u.holds {
+		for _, gone := range atlas.Without([]atlas.Span{h.span}, spans) {
+			if w.now.Before(u.busy) || w.rules.mute {
+				// Work under way ends first; the hold runs out by itself.
+				kept = append(kept, held{span: gone, fence: h.fence, until: h.until})
+				u.next = w.now.Add(100 * time.Millisecond)
+				continue
+			}
+			u.released = append(u.released, owner.Released{Span: gone, Token: fmt.Sprintf("t%d", u.number)})
+			u.next = w.now.Add(50 * time.Millisecond)
+		}
+	}
+	for _, r := range g.Rows {
+		kept = append(kept, held{span: r.Span, fence: r.Fence, until: until})
+		w.taken(d, r)
+	}
+	u.holds = kept
+	if w.rng.IntN(4) == 0 {
+		u.busy = w.now.Add(w.delay(400))
+	}
+}
+
+// taken checks the fencing token of a grant.
+func (w *world) taken(d *daemon, r owner.Granted) {
+	name := fmt.Sprintf("%s/%d", d.host, d.upstream.life)
+	for _, p := range probes {
+		if !r.Span.Has(p) {
+			continue
+		}
+		if w.holders[p] != name && r.Fence <= w.tokens[p] {
+			w.fault("%s takes key %d under %d, %s had it under %d", name, p, r.Fence, w.holders[p], w.tokens[p])
+		}
+		w.tokens[p], w.holders[p] = max(w.tokens[p], r.Fence), name
+	}
+}
+
+func (w *world) fault(format string, args ...any) {
+	w.faults = append(w.faults, fmt.Sprintf("at %d ms: %s", w.now.Sub(epoch).Milliseconds(), fmt.Sprintf(format, args...)))
+}
+
+// check looks for keys that two upstreams hold.
+func (w *world) check() {
+	for _, p := range probes {
+		holder := ident.Host("")
+		for _, d := range w.daemons {
+			if !d.upstream.up || !d.upstream.has(w.now, p) {
+				continue
+			}
+			if holder != "" {
+				w.fault("%s and %s hold key %d", holder, d.host, p)
+			}
+			holder = d.host
+		}
+	}
+}
+
+func (u *upstream) has(now time.Time, p atlas.Point) bool {
+	for _, h := range u.holds {
+		if h.span.Has(p) && now.Before(h.until) {
+			return true
+		}
+	}
+	return false
+}
+
+// held returns how many of the probed keys some upstream holds.
+func (w *world) held() int {
+	n := 0
+	for _, p := range probes {
+		for _, d := range w.daemons {
+			if d.upstream.up && d.upstream.has(w.now, p) {
+				n++
+				break
+			}
+		}
+	}
+	return n
+}
+
+// disturb does something bad.
+func (w *world) disturb() {
+	d := w.daemons[w.rng.IntN(len(w.daemons))]
+	long := w.now.Add(w.delay(3000))
+	switch w.rng.IntN(9) {
+	case 0:
+		d.up, d.back = false, long
+	case 1:
+		d.upstream.up, d.upstream.back = false, long
+	case 2:
+		d.up, d.back, d.upstream.up, d.upstream.back = false, long, false, long.Add(w.delay(300))
+	case 3:
+		d.frozen = long
+	case 4:
+		d.cut = long
+	case 5:
+		d.noStore = long
+	case 6:
+		w.noStore = w.now.Add(w.delay(2000))
+	case 7:
+		for _, o := range w.daemons {
+			if w.rng.IntN(2) == 0 {
+				o.up, o.back = false, w.now.Add(w.delay(1500))
+			}
+		}
+	case 8:
+		d.machine.Depart()
+	}
+}
