--- a/sched/queue.go
+++ b/sched/queue.go
@@ -18,6 +18,13 @@
 	// leastRetry is the shortest time after which a refused caller is told to
 	// come back.
 	leastRetry = 60 * time.Millisecond
+	// waitCaution and serviceCaution are by how much a wait and a service time are
+	// taken to be longer than reckoned.
+	waitCaution    = 1.3
+	serviceCaution = 1.2
+	// spareLoad is the part of the capacity up to which calls that miss their
+	// target are worth serving.
+	spareLoad = 1.1
 	// answerMargin is kept for the way of an answer back to the caller.
 	answerMargin = 15 * time.Millisecond
 	// maxWaiting is the number of calls that may wait for each slot: more could
@@ -138,12 +145,19 @@
 	return w, Wait, 0
 }
 
-// isWorthWaiting reports whether a call that would wait so long should. One that
-// would miss its target by waiting is better turned away at once, as long as it
-// has time to come back.
+// isWorthWaiting reports whether a call that would wait so long should. It should
+// if it will meet its target, reckoned with caution, since more urgent calls may
+// still come. One that would miss it waits only while the upstream serves more
+// than arrives, so that late answers cost no call its target; else it is better
+// turned away at once, as long as it has time to come back.
 func (q *Queue) isWorthWaiting(now time.Time, d Demand, wait, service time.Duration) bool {
-	done := now.Add(wait + service)
-	return !done.After(d.Target)
+	need := time.Duration(waitCaution*float64(wait) + serviceCaution*float64(service))
+	if !now.Add(need).After(d.Target) {
+		return true
+	}
+	offered, capacity := q.Load(now)
+	need = time.Duration(waitCaution*float64(max(wait, q.Wait())) + serviceCaution*float64(service))
+	return offered <= spareLoad*capacity && !now.Add(need).After(d.GiveUp)
 }
 
 // waitFor estimates how long a call would wait for a slot.
@@ -280,6 +294,8 @@
 	since time.Time
 	count float64
 	last  float64
+	// whole is set once a first window has ended.
+	whole bool
 }
 
 func (r *rate) add(now time.Time, n float64) {
@@ -296,12 +312,19 @@
 		return
 	}
 	r.last = r.count / passed.Seconds()
-	r.count, r.since = 0, now
+	r.count, r.since, r.whole = 0, now, true
 }
 
 // value blends the last window with the present one.
 func (r *rate) value(now time.Time) float64 {
 	r.roll(now)
 	passed := now.Sub(r.since).Seconds() / rateWindow.Seconds()
+	if !r.whole {
+		return r.count / rateWindow.Seconds() / max(passed, leastWindow)
+	}
 	return r.last*(1-passed) + r.count/rateWindow.Seconds()
 }
+
+// leastWindow is the part of the first window before which its rate is not taken
+// for more than what has come.
+const leastWindow = 0.3
