Reckon the wait for a slot by when the next call ends

Cause: the wait for a slot was taken for half of all running work over the slots. With slots full of long calls a short one with a near target was refused although a slot is free every few milliseconds. Ruled out: the order of the queue (checks go before statements), a lack of slots. Change: running calls end a mean service time over their number apart; calls of a rank find the slots that better ranks leave.

--- a/sched/queue.go
+++ b/sched/queue.go
@@ -18,10 +18,15 @@
 	// leastRetry is the shortest time after which a refused caller is told to
 	// come back.
 	leastRetry = 60 * time.Millisecond
+	// mostRetry is the longest such time: a queue lasts no longer.
+	mostRetry = time.Second
 	// waitCaution and serviceCaution are by how much a wait and a service time are
 	// taken to be longer than reckoned.
-	waitCaution    = 1.3
+	waitCaution    = 1.5
 	serviceCaution = 1.2
+	// leastShare is the least part of the slots that calls of any rank are
+	// reckoned with.
+	leastShare = 0.1
 	// spareLoad is the part of the capacity up to which calls that miss their
 	// target are worth serving.
 	spareLoad = 1.1
@@ -93,11 +98,13 @@
 
 	offered, served rate
 	work            time.Duration
+	// demand is the work that arrives, in seconds a second, by rank.
+	demand map[int]*rate
 }
 
 // NewQueue returns a queue for an upstream that has announced no slots yet.
 func NewQueue() *Queue {
-	return &Queue{means: make(map[string]time.Duration)}
+	return &Queue{means: make(map[string]time.Duration), demand: make(map[int]*rate)}
 }
 
 // Announce sets the number of calls that the upstream runs at once.
@@ -129,6 +136,7 @@
 	q.offered.add(now, 1)
 	service := q.Service(d.Class)
 	q.learnWork(service)
+	q.learnDemand(now, d.Priority, service)
 	if q.running < q.slots && len(q.waiting) == 0 {
 		if d.GiveUp.Sub(now) <= 0 {
 			return nil, Refuse, leastRetry
@@ -160,42 +168,58 @@
 	return offered <= spareLoad*capacity && !now.Add(need).After(d.GiveUp)
 }
 
-// waitFor estimates how long a call would wait for a slot.
+// waitFor estimates how long a call would wait for a slot: until those ahead of
+// it are served, and until the next call that runs ends.
 func (q *Queue) waitFor(now time.Time, d Demand, service time.Duration) time.Duration {
-	if q.slots == 0 {
-		return time.Hour
-	}
-	ahead := q.busy / 2
+	ahead := time.Duration(0)
 	probe := &Waiter{demand: d, arrived: now, service: service}
 	for _, w := range q.waiting {
 		if compare(now, w, probe) <= 0 {
 			ahead += w.service
 		}
 	}
-	if q.running < q.slots {
-		ahead -= q.busy / 2
+	return q.drain(ahead, q.share(now, d.Priority))
+}
+
+// share returns the part of the slots that calls of a rank find free of calls of
+// better ranks, which go before them even if they come later.
+func (q *Queue) share(now time.Time, priority int) float64 {
+	better := 0.0
+	for rank, r := range q.demand {
+		if rank < priority {
+			better += r.value(now)
+		}
+	}
+	return max(leastShare, 1-better/float64(max(1, q.slots)))
+}
+
+// drain returns how long it takes until the given work of waiting calls has begun
+// on a part of the slots and one more slot is free.
+func (q *Queue) drain(ahead time.Duration, share float64) time.Duration {
+	if q.slots == 0 {
+		return time.Hour
+	}
+	next := time.Duration(0)
+	if q.running >= q.slots {
+		// Calls that run end one after the other, a mean service time over their
+		// number apart.
+		next = q.busy / time.Duration(q.running)
 	}
-	return ahead / time.Duration(q.slots)
+	return time.Duration(float64(ahead+next)/share) / time.Duration(q.slots)
 }
 
 // retryAfter tells when there should be room: when half of what waits is served.
 func (q *Queue) retryAfter(wait time.Duration) time.Duration {
-	return max(leastRetry, wait/2)
+	return min(max(leastRetry, wait/2), mostRetry)
 }
 
 // Wait estimates how long a call of the least rank would wait.
 func (q *Queue) Wait() time.Duration {
-	if q.slots == 0 {
-		return time.Hour
-	}
 	sum := time.Duration(0)
-	if q.running >= q.slots {
-		sum = q.busy / 2
-	}
 	for _, w := range q.waiting {
 		sum += w.service
 	}
-	return sum / time.Duration(q.slots)
+	return q.drain(sum, 1)
 }
 
 // compare orders waiting calls: the better rank first, then those that can still
@@ -272,6 +296,16 @@
 	q.means[class] = mean + time.Duration(learnRate*float64(took-mean))
 }
 
+// learnDemand keeps the work that arrives by rank.
+func (q *Queue) learnDemand(now time.Time, priority int, service time.Duration) {
+	r, ok := q.demand[priority]
+	if !ok {
+		r = &rate{}
+		q.demand[priority] = r
+	}
+	r.add(now, service.Seconds())
+}
+
 // learnWork keeps the mean service time over the mix of calls that arrive.
 func (q *Queue) learnWork(service time.Duration) {
 	if q.work == 0 {
