Serve keys until the answer that takes them away; hold answers for up to 850 ms

Change: keys are served until the answer that leaves them out; while the upstream lets go its heartbeats are answered at once; the answer to one that leaves waits for the decision where its keys go; each change of grants has a log line.

--- a/mesh/desk.go
+++ b/mesh/desk.go
@@ -16,6 +16,9 @@
 	// silentBeats is the number of heartbeats that may fail to come before the
 	// upstream is looked for.
 	silentBeats = 2.2
+	// leavingHold is how long the answer to an upstream that leaves is held back:
+	// long enough to decide where its keys go.
+	leavingHold = 100 * time.Millisecond
 	// probeTime bounds the opening of a connection to see whether anything
 	// listens at the upstream's address.
 	probeTime = 300 * time.Millisecond
@@ -110,7 +113,11 @@
 	}
 	n.kick()
 	if wait != nil {
-		n.await(ctx, wait, now)
+		limit := n.settings.answerHold()
+		if hb.Leaving {
+			limit = leavingHold
+		}
+		n.await(ctx, wait, now, limit)
 	}
 	return n.grant(hb)
 }
@@ -123,22 +130,28 @@
 // prepareWait returns what ends the wait for a change of grants; nil when the
 // heartbeat is to be answered at once. It is called with mu held.
 func (n *Node) prepareWait(now time.Time, hb Heartbeat) chan struct{} {
-	if n.machine == nil || hb.Leaving || n.machine.WantsGrant(now) {
+	if n.machine == nil || n.machine.IsReleasing() || n.machine.WantsGrant(now) {
 		return nil
 	}
 	n.desk.waiting = make(chan struct{})
 	return n.desk.waiting
 }
 
-func (n *Node) await(ctx context.Context, wait chan struct{}, since time.Time) {
-	timer := n.clock.NewTimer(n.desk.hold - n.clock.Now().Sub(since))
+func (n *Node) await(ctx context.Context, wait chan struct{}, since time.Time, limit time.Duration) {
+	timer := n.clock.NewTimer(limit - n.clock.Now().Sub(since))
 	defer timer.Stop()
 	select {
 	case <-wait:
+		return
 	case <-timer.Chan():
 	case <-ctx.Done():
 	case <-n.ctx.Done():
 	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.desk.waiting == wait {
+		n.desk.waiting = nil
+	}
 }
 
 // grant returns the answer to a heartbeat.
--- a/mesh/settings.go
+++ b/mesh/settings.go
@@ -67,8 +67,8 @@
 	// answerShare is the part of the heartbeat interval, and maxAnswerHold the
 	// longest time, for which an answer is held back to carry a change of grants
 	// as soon as there is one. An answer counts for the upstream up to a second.
-	answerShare   = 0.65
-	maxAnswerHold = 600 * time.Millisecond
+	answerShare   = 0.95
+	maxAnswerHold = 850 * time.Millisecond
 	// holdReserve is what a grant lasts beyond its heartbeats.
 	holdReserve = 700 * time.Millisecond
 )
--- a/owner/heartbeat.go
+++ b/owner/heartbeat.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/monsoonmoor/monsoonmoor/atlas"
@@ -116,6 +117,7 @@
 			g.Rows = append(g.Rows, m.granted(row, span))
 		}
 	}
+	m.noteGrant(g, now)
 	u.granted = g.Rows
 	u.until = now.Add(time.Duration(float64(g.Hold) * (1 + holdSlack)))
 	return g
@@ -143,13 +145,12 @@
 	if len(u.granted) == 0 || !now.Before(u.until) {
 		return len(m.table.RowsOf(m.host)) > 0
 	}
-	granted := make([]atlas.Span, 0, len(u.granted))
-	for _, g := range u.granted {
-		granted = append(granted, g.Span)
-	}
+	granted := grantedSpans(u.granted)
 	away := m.proposedAway()
 	for _, r := range m.releases {
-		away = append(away, r.span)
+		if r.asked {
+			away = append(away, r.span)
+		}
 	}
 	own := atlas.Without(atlas.Spans(m.table.RowsOf(m.host)), away)
 	return len(atlas.Without(own, granted)) > 0 || len(atlas.Without(granted, own)) > 0
@@ -159,6 +160,36 @@
 // no more of them, so its keys are free when its grants have run out.
 func (m *Machine) Depart() { m.upstream.leaving, m.upstream.departed = true, true }
 
+// noteGrant records a grant that differs from the one before.
+func (m *Machine) noteGrant(g Grant, now time.Time) {
+	before, after := grantedSpans(m.upstream.granted), grantedSpans(g.Rows)
+	more, less := atlas.Without(after, before), atlas.Without(before, after)
+	if len(more) == 0 && len(less) == 0 {
+		return
+	}
+	m.note("grant changed", "id", m.upstream.id, "version", m.table.Version(), "rows", len(g.Rows),
+		"more", clipSpans(more), "less", clipSpans(less), "hold", g.Hold.String(),
+		"lease_left", m.until().Sub(now).Round(time.Millisecond).String(), "beat_age", now.Sub(m.upstream.beat).Round(time.Millisecond).String())
+}
+
+func grantedSpans(rows []Granted) []atlas.Span {
+	spans := make([]atlas.Span, 0, len(rows))
+	for _, g := range rows {
+		spans = append(spans, g.Span)
+	}
+	return spans
+}
+
+// clipSpans returns the first few ranges for the log.
+func clipSpans(spans []atlas.Span) string {
+	const shown = 4
+	text := fmt.Sprint(spans[:min(len(spans), shown)])
+	if len(spans) > shown {
+		text += fmt.Sprintf("+%d", len(spans)-shown)
+	}
+	return text
+}
+
 // until returns when the lease ends. While it is not known whether a version that
 // names other witnesses was written, the lease must hold with both sets.
 func (m *Machine) until() time.Time {
--- a/owner/machine.go
+++ b/owner/machine.go
@@ -216,7 +216,8 @@
 		return Soon, ""
 	}
 	for _, r := range m.releases {
-		if r.span.Has(p) {
+		// The upstream holds the key until the answer that takes it away.
+		if r.asked && r.span.Has(p) {
 			return Leaving, r.to
 		}
 	}
@@ -236,6 +237,12 @@
 	return m.upstream.id, m.upstream.present, m.upstream.leaving
 }
 
+// IsReleasing reports whether the upstream was told to let go of keys and has not
+// yet said that it has.
+func (m *Machine) IsReleasing() bool {
+	return slices.ContainsFunc(m.releases, func(r *release) bool { return r.asked && !r.done })
+}
+
 // Stop makes the member give all its keys away, since the daemon ends.
 func (m *Machine) Stop(time.Time) { m.stopping = true }
 
