Spare the store: few readers of a table, members told of each version

Change: two daemons of a service follow its table in the store and tell the others; a member fetches a version it has heard of before it proposes the next; gossip carries the counters of all daemons in a few bytes each; a witness counts as failing after half a lease.

--- a/gossip/message.go
+++ b/gossip/message.go
@@ -17,14 +17,28 @@
 	From ident.Incarnation `cbor:"1,keyasint"`
 	// Entries is what the sender knows of the fleet.
 	Entries []Entry `cbor:"2,keyasint,omitempty"`
+	// Beats are the counters of daemons that the receiver may know already.
+	Beats []Beat `cbor:"8,keyasint,omitempty"`
 	// Renewal asks a witness to renew the sender's lease; Renewed answers it.
 	Renewal *Renewal `cbor:"3,keyasint,omitempty"`
 	Renewed *Renewal `cbor:"4,keyasint,omitempty"`
 	// Ballot asks a witness whether a lease has ended; Vote answers yes.
 	Ballot *Ballot `cbor:"5,keyasint,omitempty"`
 	Vote   *Ballot `cbor:"6,keyasint,omitempty"`
-	// Changed tells that the sender has a newer version of a topic.
+	// Changed tells that the sender has a newer version of a topic. Urgent is set
+	// when it concerns the receiver.
 	Changed *Version `cbor:"7,keyasint,omitempty"`
+	Urgent  bool     `cbor:"9,keyasint,omitempty"`
+}
+
+// Beat is the counter of one daemon, in the few bytes that let every message carry
+// those of many.
+type Beat struct {
+	_ struct{} `cbor:",toarray"`
+	// Run names a run of a daemon; see runOf.
+	Run uint32
+	// Count is the counter of its newest entry.
+	Count uint64
 }
 
 // Renewal is one renewal of a lease.
--- a/gossip/state.go
+++ b/gossip/state.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/monsoonmoor/monsoonmoor/ident"
 )
 
@@ -33,13 +35,19 @@
 	}
 }
 
-// maxEntries is the number of entries in one message: it keeps a datagram within
-// the usual size of a packet.
-const maxEntries = 8
+const (
+	// maxEntries is the number of entries in one message, and maxBeats that of
+	// counters: they keep a datagram near the usual size of a packet.
+	maxEntries = 8
+	maxBeats   = 100
+)
 
 // peer is what is known of another host.
 type peer struct {
 	entry Entry
+	// beat is the highest counter heard of, at least that of the entry.
+	beat uint64
+	run  uint32
 	// heard is when the counter last rose.
 	heard time.Time
 	// told is how often the newest entry was passed on.
@@ -54,8 +62,11 @@
 	timings Timings
 	self    Entry
 	peers   map[ident.Host]*peer
+	runs    map[uint32]*peer
 	rng     *rand.Rand
 	order   []ident.Host
+	// turn is where the next message's counters begin.
+	turn int
 }
 
 // NewState returns the knowledge of a daemon that has heard of nobody. Seed
@@ -65,6 +76,7 @@
 		timings: timings,
 		self:    self,
 		peers:   make(map[ident.Host]*peer),
+		runs:    make(map[uint32]*peer),
 		rng:     rand.New(rand.NewPCG(seed, seed)),
 	}
 }
@@ -102,9 +114,8 @@
 		}
 		p, ok := s.peers[e.Inc.Host]
 		if !ok {
-			s.peers[e.Inc.Host] = &peer{entry: e, heard: now}
-			changed = append(changed, e.Inc.Host)
-			continue
+			p = &peer{seed: true}
+			s.peers[e.Inc.Host] = p
 		}
 		if !p.seed && !e.newer(p.entry) {
 			continue
@@ -112,17 +123,70 @@
 		if p.seed || p.entry.Inc != e.Inc || p.entry.Condition != e.Condition {
 			changed = append(changed, e.Inc.Host)
 		}
-		p.entry, p.heard, p.told, p.seed = e, now, 0, false
+		s.renew(now, p, e)
 	}
 	return changed
 }
 
+// renew replaces what is known of a host by a newer entry.
+func (s *State) renew(now time.Time, p *peer, e Entry) {
+	if run := runOf(e.Inc); run != p.run {
+		delete(s.runs, p.run)
+		p.run, p.beat = run, 0
+		s.runs[run] = p
+	}
+	if e.Beat > p.beat {
+		p.beat, p.heard = e.Beat, now
+	}
+	p.entry, p.told, p.seed = e, 0, false
+}
+
+// runOf returns the short name of a run of a daemon.
+func runOf(inc ident.Incarnation) uint32 {
+	return uint32(xxhash.Sum64String(inc.String()))
+}
+
+// Count takes the counters that another daemon has heard of.
+func (s *State) Count(now time.Time, beats []Beat) {
+	for _, b := range beats {
+		if p, ok := s.runs[b.Run]; ok && b.Count > p.beat {
+			p.beat, p.heard = b.Count, now
+		}
+	}
+}
+
+// Beats returns the counters that a message carries: all that are known, or a part
+// of them in turn.
+func (s *State) Beats() []Beat {
+	hosts := s.hosts()
+	n := min(len(hosts), maxBeats)
+	beats := make([]Beat, 0, n)
+	for i := range n {
+		p := s.peers[hosts[(s.turn+i)%len(hosts)]]
+		if !p.seed {
+			beats = append(beats, Beat{Run: p.run, Count: p.beat})
+		}
+	}
+	s.turn += n
+	return beats
+}
+
+// hosts returns the hosts that are known, in order.
+func (s *State) hosts() []ident.Host {
+	hosts := make([]ident.Host, 0, len(s.peers))
+	for host := range s.peers {
+		hosts = append(hosts, host)
+	}
+	slices.Sort(hosts)
+	return hosts
+}
+
 // Targets returns the entries of the daemons that this round writes to. Every
 // live daemon has its turn; one lost daemon is tried as well.
 func (s *State) Targets(now time.Time) []Entry {
 	s.forget(now)
 	var targets []Entry
-	for len(targets) < s.timings.Fanout && len(targets) < s.count(now, true) {
+	for live := s.count(now); len(targets) < min(live, s.timings.Fanout); {
 		host := s.next()
 		p, ok := s.peers[host]
 		if !ok || !s.isLive(p, now) || slices.ContainsFunc(targets, func(e Entry) bool { return e.Inc.Host == host }) {
@@ -148,10 +212,7 @@
 // next returns the next host in a random order that holds every host once.
 func (s *State) next() ident.Host {
 	if len(s.order) == 0 {
-		for host := range s.peers {
-			s.order = append(s.order, host)
-		}
-		slices.Sort(s.order)
+		s.order = s.hosts()
 		s.rng.Shuffle(len(s.order), func(i, k int) { s.order[i], s.order[k] = s.order[k], s.order[i] })
 	}
 	host := s.order[len(s.order)-1]
@@ -159,10 +220,11 @@
 	return host
 }
 
-func (s *State) count(now time.Time, live bool) int {
+// count returns the number of live peers.
+func (s *State) count(now time.Time) int {
 	n := 0
 	for _, p := range s.peers {
-		if s.isLive(p, now) == live {
+		if s.isLive(p, now) {
 			n++
 		}
 	}
@@ -173,6 +235,7 @@
 	for host, p := range s.peers {
 		if now.Sub(p.heard) > s.timings.Forget {
 			delete(s.peers, host)
+			delete(s.runs, p.run)
 		}
 	}
 }
--- a/mesh/fleet.go
+++ b/mesh/fleet.go
@@ -15,7 +15,7 @@
 	targets := n.state.Targets(now)
 	messages := make([]gossip.Message, 0, len(targets))
 	for _, t := range targets {
-		messages = append(messages, gossip.Message{From: n.self, Entries: n.state.Digest(t.Inc.Host)})
+		messages = append(messages, gossip.Message{From: n.self, Entries: n.state.Digest(t.Inc.Host), Beats: n.state.Beats()})
 	}
 	n.mu.Unlock()
 	for i, t := range targets {
@@ -98,7 +98,7 @@
 		n.kick()
 	}
 	if m.Changed != nil {
-		n.hear(now, m.From.Host, *m.Changed)
+		n.hear(now, m.From.Host, *m.Changed, m.Urgent)
 	}
 }
 
@@ -108,6 +108,7 @@
 	n.mu.Lock()
 	_, known := n.state.Find(now, m.From.Host)
 	changed := n.state.Merge(now, m.Entries)
+	n.state.Count(now, m.Beats)
 	sender, _ := n.state.Find(now, m.From.Host)
 	reply := gossip.Message{From: n.self, Entries: n.state.Digest(m.From.Host)}
 	var live []gossip.Entry
@@ -122,11 +123,9 @@
 	for _, host := range changed {
 		n.logPeer(now, host, len(live))
 	}
-	for _, e := range m.Entries {
-		for _, v := range e.Versions {
-			n.hear(now, m.From.Host, v)
-		}
-		break
+	for _, v := range m.Entries[0].Versions {
+		// The first entry is the sender's own.
+		n.hear(now, m.From.Host, v, false)
 	}
 	if len(changed) > 0 {
 		n.kick()
@@ -141,22 +140,32 @@
 		"condition", e.Condition.String(), "live", ok, "fleet", live)
 }
 
-// hear takes the news that another daemon has a version of a document, and
-// fetches it when it is newer.
-func (n *Node) hear(now time.Time, host ident.Host, v gossip.Version) {
+// hear takes the news that another daemon has a version of a document. One that
+// concerns this daemon is fetched at once, others with the next tick that allows
+// it.
+func (n *Node) hear(now time.Time, host ident.Host, v gossip.Version, urgent bool) {
 	n.mu.Lock()
 	from, ok := n.state.Find(now, host)
-	newer := false
-	if v.Name == configDoc {
-		newer = v.Number > n.plans.Plan().Version()
+	if !ok {
+		n.mu.Unlock()
+		return
 	}
+	fetch := v.Name == configDoc && v.Number > n.plans.Plan().Version()
 	for service, t := range n.tables {
-		if topicOf(service) == v.Name {
-			newer = v.Number > t.current.Version()
+		if topicOf(service) != v.Name || v.Number <= max(t.heard, t.current.Version()) {
+			continue
+		}
+		t.heard, t.from = v.Number, from.Addr
+		if n.machine != nil && service == n.settings.Service {
+			n.machine.Heard(v.Number)
+		}
+		if urgent {
+			t.fetched = now
+			fetch = true
 		}
 	}
 	n.mu.Unlock()
-	if newer && ok {
+	if fetch {
 		n.fetch(from.Addr, v)
 	}
 }
@@ -212,6 +221,7 @@
 	n.mu.Lock()
 	if n.machine == nil {
 		n.mu.Unlock()
+		n.refresh(now, false)
 		return
 	}
 	n.updateSelf()
@@ -231,6 +241,7 @@
 			n.socket.Send(to[i], m.Message)
 		}
 	}
+	n.refresh(now, a.Refresh)
 	for _, note := range a.Notes {
 		n.log.Info(note.Text, note.Pairs...)
 	}
--- a/mesh/source.go
+++ b/mesh/source.go
@@ -19,8 +19,8 @@
 	memberTopic = "members"
 	// configWait and configGap are the wait of a read for a change of the
 	// configuration, and the least time between two.
-	configWait = 8 * time.Second
-	configGap  = 150 * time.Millisecond
+	configWait = 20 * time.Second
+	configGap  = 600 * time.Millisecond
 )
 
 // followConfig keeps up with the operators' configuration.
--- a/mesh/tables.go
+++ b/mesh/tables.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/monsoonmoor/monsoonmoor/atlas"
@@ -21,9 +22,18 @@
 	// the least time between two: daemons tell each other of changes at once, so
 	// that the store is a second source only.
 	tableWait = 8 * time.Second
-	tableGap  = time.Second
+	tableGap  = 400 * time.Millisecond
+	// tableReaders is the number of daemons that follow a table in the store; they
+	// tell the others.
+	tableReaders = 2
+	// raceWait is how long a writer that lost a race waits to be told of the
+	// winner's version before it asks the store.
+	raceWait = 250 * time.Millisecond
 	// storeTime bounds a call to the store.
 	storeTime = 1500 * time.Millisecond
+	// lazyFetch is the least time between two fetches of a table that does not
+	// concern this daemon.
+	lazyFetch = 400 * time.Millisecond
 	// fetchTime bounds the fetching of a document from a peer.
 	fetchTime = 800 * time.Millisecond
 	// toldAll is the size of a fleet up to which every daemon is told of a new
@@ -45,6 +55,11 @@
 	raw      document
 	read     bool
 	follower *store.Follower
+	// heard is the highest version that a peer has told of, from its address, and
+	// fetched when one was asked for last.
+	heard   uint64
+	from    string
+	fetched time.Time
 }
 
 // topicOf returns the topic of a service's table.
@@ -66,10 +81,31 @@
 	t.follower = store.Follow(n.ports.Store, topicOf(service),
 		func(item store.Item) { n.readTable(service, item.Offset+1, item.Value, "store") },
 		store.WithClock(n.clock), store.WithLogger(n.log), store.WithWait(tableWait, tableGap),
-		store.WithSynced(func(ok bool) { n.tableSynced(service, ok) }))
+		store.WithSynced(func(ok bool) { n.tableSynced(service, ok) }),
+		store.WithWanted(func() bool { return n.isReader(service) }))
 	return t
 }
 
+// isReader reports whether this daemon is one of those that follow a service's
+// table in the store.
+func (n *Node) isReader(service ident.Service) bool {
+	if service != n.settings.Service {
+		return false
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	before := 0
+	for _, e := range n.state.Live(n.clock.Now()) {
+		if e.Inc.Host == n.settings.Host {
+			break
+		}
+		if e.Service == service && e.Condition != gossip.Stopping {
+			before++
+		}
+	}
+	return before < tableReaders
+}
+
 // tableSynced notes that the newest version of a table was read: a service
 // without any version has no owners yet.
 func (n *Node) tableSynced(service ident.Service, ok bool) {
@@ -145,7 +181,7 @@
 	unanswered := false
 	for n.ctx.Err() == nil {
 		began := n.clock.Now()
-		outcome := n.put(topic, proposal, data, unanswered)
+		outcome := n.put(topic, proposal, data)
 		n.log.Info("ownership table written", "service", string(proposal.Service()), "version", proposal.Version(),
 			"outcome", outcomeNames[outcome], "bytes", len(data), "took", n.clock.Now().Sub(began).String())
 		if outcome == owner.Unknown {
@@ -161,9 +197,10 @@
 		}
 		if outcome == owner.Written {
 			n.mu.Lock()
+			before := n.tables[proposal.Service()].current
 			n.adoptTable(proposal.Service(), proposal, data)
 			n.mu.Unlock()
-			n.spread(proposal)
+			n.spread(before, proposal)
 		}
 		n.settle(proposal, outcome)
 		return
@@ -181,9 +218,9 @@
 	owner.Written: "written", owner.Lost: "lost the race", owner.Refused: "refused", owner.Unknown: "unknown",
 }
 
-// put makes one attempt to write a proposal. After an attempt without answer a
-// conflict may be with the proposal itself, so the newest version is read.
-func (n *Node) put(topic string, proposal *atlas.Table, data []byte, unanswered bool) owner.Outcome {
+// put makes one attempt to write a proposal. A conflict may be with the proposal
+// itself, written by an earlier attempt whose answer was lost.
+func (n *Node) put(topic string, proposal *atlas.Table, data []byte) owner.Outcome {
 	ctx, cancel := context.WithCancel(n.ctx)
 	timer := n.clock.AfterFunc(storeTime, cancel)
 	defer cancel()
@@ -199,7 +236,7 @@
 		n.log.Info("write without answer", "topic", topic, "version", proposal.Version(), "err", err.Error())
 		return owner.Unknown
 	}
-	newest, ok := n.newestTable(ctx, proposal.Service())
+	newest, ok := n.winner(ctx, proposal)
 	if !ok {
 		return owner.Unknown
 	}
@@ -208,14 +245,31 @@
 	if newest.Version() == proposal.Version() && by == ourBy && number == ourNumber {
 		return owner.Written
 	}
-	if unanswered && newest.Version() > proposal.Version() {
-		// Another version has followed; whether ours came before it does not
-		// matter any more.
-		return owner.Lost
-	}
 	return owner.Lost
 }
 
+// winner returns the version that was written in place of a proposal, or a later
+// one: the writer tells of it, and the store is asked otherwise.
+func (n *Node) winner(ctx context.Context, proposal *atlas.Table) (*atlas.Table, bool) {
+	timer := n.clock.NewTimer(raceWait)
+	defer timer.Stop()
+	for {
+		n.mu.Lock()
+		current, changed := n.tables[proposal.Service()].current, n.changed
+		n.mu.Unlock()
+		if current.Version() >= proposal.Version() {
+			return current, true
+		}
+		select {
+		case <-changed:
+		case <-timer.Chan():
+			return n.newestTable(ctx, proposal.Service())
+		case <-ctx.Done():
+			return nil, false
+		}
+	}
+}
+
 // newestTable reads the newest version of a table from the store.
 func (n *Node) newestTable(ctx context.Context, service ident.Service) (*atlas.Table, bool) {
 	s, err := n.ports.Store.Newest(ctx, topicOf(service))
@@ -245,17 +299,20 @@
 	n.notify()
 }
 
-// spread tells other daemons that there is a new version of a table.
-func (n *Node) spread(t *atlas.Table) {
+// spread tells other daemons that there is a new version of a table: all in a
+// small fleet, else the members, who may write the next one, and the readers.
+// Those whose keys have changed fetch it at once. Gossip tells the others.
+func (n *Node) spread(before, t *atlas.Table) {
 	version := gossip.Version{Name: topicOf(t.Service()), Number: t.Version()}
 	n.mu.Lock()
 	live := n.state.Live(n.clock.Now())
 	n.mu.Unlock()
 	for _, e := range live {
-		_, isMember := t.Member(e.Inc.Host)
-		if e.Inc.Host != n.settings.Host && (len(live) <= toldAll || isMember) {
-			n.socket.Send(e.Addr, gossip.Message{From: n.self, Changed: &version})
+		if e.Inc.Host == n.settings.Host || (len(live) > toldAll && e.Service != t.Service()) {
+			continue
 		}
+		changed := !slices.Equal(before.RowsOf(e.Inc.Host), t.RowsOf(e.Inc.Host))
+		n.socket.Send(e.Addr, gossip.Message{From: n.self, Changed: &version, Urgent: changed || len(live) <= toldAll})
 	}
 }
 
@@ -280,6 +337,26 @@
 	})
 }
 
+// refresh fetches the tables of which a newer version was heard: at once where the
+// machine needs it for a proposal, the others after a while.
+func (n *Node) refresh(now time.Time, needed bool) {
+	n.mu.Lock()
+	var due []*table
+	for _, t := range n.tables {
+		if t.heard <= t.current.Version() || t.from == "" {
+			continue
+		}
+		if (needed && t.service == n.settings.Service) || now.Sub(t.fetched) >= lazyFetch {
+			t.fetched = now
+			due = append(due, t)
+		}
+	}
+	n.mu.Unlock()
+	for _, t := range due {
+		n.fetch(t.from, gossip.Version{Name: topicOf(t.service), Number: t.heard})
+	}
+}
+
 // takeDocument takes a document that a peer has sent.
 func (n *Node) takeDocument(name string, version uint64, data []byte) {
 	if name == configDoc {
--- a/owner/machine.go
+++ b/owner/machine.go
@@ -50,11 +50,15 @@
 	unowned  time.Time
 
 	proposal *atlas.Table
-	writes   uint64
+	// heard is the highest version of the table that anyone has told of.
+	heard  uint64
+	writes uint64
 	// quiet is when the next proposal may be made.
 	quiet time.Time
-	live  []gossip.Entry
-	notes []Note
+	// joinAt is when the member may first try to join.
+	joinAt time.Time
+	live   []gossip.Entry
+	notes  []Note
 }
 
 // upstream is what is known of the upstream beside the daemon.
@@ -192,6 +196,9 @@
 	}
 }
 
+// Heard takes the news that there is a version of the table.
+func (m *Machine) Heard(version uint64) { m.heard = max(m.heard, version) }
+
 // dropStaleReleases forgets moves of keys that are no longer this member's.
 func (m *Machine) dropStaleReleases() {
 	own := atlas.Spans(m.table.RowsOf(m.host))
--- a/owner/propose.go
+++ b/owner/propose.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"slices"
 	"time"
 
 	"github.com/monsoonmoor/monsoonmoor/atlas"
@@ -19,8 +20,8 @@
 	// another one is first in line for.
 	stepIn = 400 * time.Millisecond
 	// raceDelay spreads the next attempts of members that lost a race, for each
-	// member of the service.
-	raceDelay = 6 * time.Millisecond
+	// daemon of the service: a write takes about that long.
+	raceDelay = 12 * time.Millisecond
 	// retryDelay is the time before a refused or unanswered write is repeated.
 	retryDelay = 250 * time.Millisecond
 )
@@ -34,7 +35,11 @@
 	if m.planMoves(now) {
 		a.Regrant = true
 	}
-	if m.proposal == nil && m.read && !now.Before(m.quiet) {
+	switch {
+	case m.proposal != nil || !m.read || now.Before(m.quiet):
+	case m.heard > m.table.Version():
+		a.Refresh = m.hasBusiness(now)
+	default:
 		a.Proposal = m.propose(now)
 		m.proposal = a.Proposal
 	}
@@ -53,7 +58,7 @@
 		m.Read(now, proposal)
 	case Lost:
 		m.proposal = nil
-		spread := raceDelay * time.Duration(max(1, len(m.table.Members())))
+		spread := raceDelay * time.Duration(max(1, m.rivals()))
 		m.quiet = now.Add(time.Duration(m.rng.Int64N(int64(spread) + 1)))
 	case Refused, Unknown:
 		m.proposal = nil
@@ -61,6 +66,24 @@
 	}
 }
 
+// hasBusiness reports whether the member may have something to propose.
+func (m *Machine) hasBusiness(now time.Time) bool {
+	done := slices.ContainsFunc(m.releases, func(r *release) bool { return r.done })
+	return done || len(m.suspects) > 0 || !m.unowned.IsZero() || m.isFree(now) || m.isMember() != m.wantsKeys() ||
+		m.needsWitnesses(now)
+}
+
+// rivals returns the number of live daemons that may write the table.
+func (m *Machine) rivals() int {
+	n := 0
+	for _, e := range m.live {
+		if e.Service == m.service {
+			n++
+		}
+	}
+	return n
+}
+
 // propose returns the next version of the table, nil when nothing should change.
 func (m *Machine) propose(now time.Time) *atlas.Table {
 	c := m.table.Change()
@@ -89,7 +112,7 @@
 		return
 	case joined:
 		m.note("naming witnesses", "witnesses", names(m.candidates), "before", names(m.holder.Witnesses()))
-	case !m.wantsKeys() || !m.isCovered(now):
+	case !m.wantsKeys() || !m.isCovered(now) || !m.isTurnToJoin(now):
 		return
 	default:
 		m.note("joining", "lease", m.Lease().String(), "witnesses", names(m.candidates))
@@ -100,6 +123,14 @@
 	}
 }
 
+// isTurnToJoin spreads the first attempts of daemons that start together.
+func (m *Machine) isTurnToJoin(now time.Time) bool {
+	if m.joinAt.IsZero() {
+		m.joinAt = now.Add(time.Duration(m.rng.Int64N(int64(raceDelay) * int64(max(1, m.rivals())))))
+	}
+	return !now.Before(m.joinAt)
+}
+
 // wantsKeys reports whether the member can own keys.
 func (m *Machine) wantsKeys() bool {
 	return m.upstream.present && !m.upstream.leaving && !m.stopping
--- a/owner/renew.go
+++ b/owner/renew.go
@@ -20,9 +20,6 @@
 	// gatherTime is how long a daemon that starts listens for others before it
 	// picks witnesses, unless it knows enough of them.
 	gatherTime = 300 * time.Millisecond
-	// staleRenewals is the number of renewals that a witness may leave unanswered
-	// before it is replaced.
-	staleRenewals = 3
 )
 
 // Renewed takes a witness's answer to a renewal.
@@ -138,16 +135,17 @@
 	return xxhash.Sum64String(string(m.host) + "\x00" + string(host))
 }
 
-// isWell reports whether a witness still runs and has answered lately.
+// isWell reports whether a witness has answered lately and is not known to have
+// ended.
 func (m *Machine) isWell(now time.Time, w ident.Incarnation) bool {
-	running := slices.ContainsFunc(m.live, func(e gossip.Entry) bool {
-		return e.Inc == w && e.Condition != gossip.Stopping
+	ended := slices.ContainsFunc(m.live, func(e gossip.Entry) bool {
+		return e.Inc.Host == w.Host && (e.Inc != w || e.Condition == gossip.Stopping)
 	})
-	return running && !m.isFailing(now, w)
+	return !ended && !m.isFailing(now, w)
 }
 
-// isFailing reports whether a witness has voted against the lease or left several
-// renewals unanswered.
+// isFailing reports whether a witness has voted against the lease, or has left
+// renewals unanswered for half a lease.
 func (m *Machine) isFailing(now time.Time, w ident.Incarnation) bool {
 	if m.refused[w] {
 		return true
@@ -156,7 +154,7 @@
 		return false
 	}
 	last := m.holder.Answers(w)
-	return !last.IsZero() && now.Sub(last) > (staleRenewals+1)*m.terms.Renewal
+	return !last.IsZero() && now.Sub(last) > m.terms.Length/2
 }
 
 // needsWitnesses reports whether so many witnesses are gone that the table should
--- a/owner/types.go
+++ b/owner/types.go
@@ -102,6 +102,9 @@
 	Proposal *atlas.Table
 	// Regrant asks to answer a waiting heartbeat now.
 	Regrant bool
+	// Refresh asks for the newest version of the table, without which nothing can
+	// be proposed.
+	Refresh bool
 	// Notes are decisions for the log.
 	Notes []Note
 }
--- a/store/follower.go
+++ b/store/follower.go
@@ -21,6 +21,9 @@
 	defaultGap = 150 * time.Millisecond
 	// answerTime is how long an answer may take beyond the wait.
 	answerTime = 1500 * time.Millisecond
+	// wantedTime is the time between two looks at whether the topic must be
+	// followed.
+	wantedTime = 250 * time.Millisecond
 	// firstBackoff and maxBackoff bound the time between failed reads.
 	firstBackoff = 100 * time.Millisecond
 	maxBackoff   = 800 * time.Millisecond
@@ -37,6 +40,7 @@
 	wait   time.Duration
 	gap    time.Duration
 	synced func(bool)
+	wanted func() bool
 
 	cancel context.CancelFunc
 	done   chan struct{}
@@ -67,6 +71,10 @@
 // lost the store.
 func WithSynced(synced func(bool)) FollowerOption { return func(f *Follower) { f.synced = synced } }
 
+// WithWanted sets what tells whether the topic must be followed after its newest
+// items were read once. While it says no, no calls are made.
+func WithWanted(wanted func() bool) FollowerOption { return func(f *Follower) { f.wanted = wanted } }
+
 // Follow starts to follow a topic. Take is called for every item, from one
 // goroutine. Close ends it.
 func Follow(port Port, topic string, take func(Item), opts ...FollowerOption) *Follower {
@@ -75,7 +83,7 @@
 		port: port, topic: topic, take: take,
 		clock: clockwork.NewRealClock(), log: logr.Discard(),
 		wait: defaultWait, gap: defaultGap,
-		synced: func(bool) {},
+		synced: func(bool) {}, wanted: func() bool { return true },
 		cancel: cancel, done: make(chan struct{}), hurry: make(chan struct{}, 1),
 	}
 	f.behind = func() {}
@@ -113,6 +121,10 @@
 	backoff := firstBackoff
 	up := false
 	for ctx.Err() == nil {
+		if f.read && !f.wanted() {
+			f.pause(ctx, wantedTime, false)
+			continue
+		}
 		begun := f.clock.Now()
 		err := f.step(ctx)
 		if err == nil {
