--- /dev/null
+++ b/gossip/gossip_test.go
@@ -0,0 +1,182 @@
+package gossip_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-logr/logr"
+
+	"github.com/monsoonmoor/monsoonmoor/gossip"
+	"github.com/monsoonmoor/monsoonmoor/ident"
+)
+
+var start = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+
+func entry(host string, boot uint64) gossip.Entry {
+	return gossip.Entry{Inc: ident.NewIncarnation(ident.Host(host), boot), Addr: host + ":1", Beat: 1}
+}
+
+// crowd is a fleet whose messages arrive at once.
+type crowd struct {
+	states []*gossip.State
+	now    time.Time
+	down   map[int]bool
+	// carried is the number of messages and the largest of them in bytes.
+	carried, largest int
+}
+
+func newCrowd(n int) *crowd {
+	c := &crowd{now: start, down: make(map[int]bool)}
+	for i := range n {
+		c.states = append(c.states, gossip.NewState(entry(fmt.Sprintf("h%03d", i), 7), gossip.DefaultTimings(), uint64(i)))
+	}
+	for _, s := range c.states {
+		for _, o := range c.states[:min(3, n)] {
+			s.Seed(c.now, o.Self().Inc, o.Self().Addr)
+		}
+	}
+	return c
+}
+
+func (c *crowd) find(host ident.Host) (int, *gossip.State) {
+	for i, s := range c.states {
+		if s.Self().Inc.Host == host {
+			return i, s
+		}
+	}
+	return -1, nil
+}
+
+func (c *crowd) round(t *testing.T) {
+	c.now = c.now.Add(gossip.DefaultTimings().Interval)
+	for i, s := range c.states {
+		if c.down[i] {
+			continue
+		}
+		s.Update(func(*gossip.Entry) {})
+		for _, target := range s.Targets(c.now) {
+			k, to := c.find(target.Inc.Host)
+			m := gossip.Message{From: s.Self().Inc, Entries: s.Digest(target.Inc.Host), Beats: s.Beats()}
+			data, err := m.Encode()
+			qt.New(t).Assert(err, qt.IsNil)
+			c.carried++
+			c.largest = max(c.largest, len(data))
+			if to != nil && !c.down[k] {
+				to.Merge(c.now, m.Entries)
+				to.Count(c.now, m.Beats)
+			}
+		}
+	}
+}
+
+// TestFleetLearnsOfEveryone lets fleets meet through three addresses and loses a
+// part of them.
+func TestFleetLearnsOfEveryone(t *testing.T) {
+	for _, n := range []int{4, 10, 66} {
+		c := qt.New(t)
+		crowd := newCrowd(n)
+		for range 40 {
+			crowd.round(t)
+		}
+		for _, s := range crowd.states {
+			c.Assert(s.Live(crowd.now), qt.HasLen, n)
+		}
+		// Nobody is taken for lost while all run.
+		for range 100 {
+			crowd.round(t)
+			for _, s := range crowd.states {
+				c.Assert(s.Live(crowd.now), qt.HasLen, n)
+			}
+		}
+		lost := max(1, n/4)
+		for i := range lost {
+			crowd.down[n-1-i] = true
+		}
+		rounds := 0
+		for ; rounds < 40; rounds++ {
+			crowd.round(t)
+			if len(crowd.states[0].Live(crowd.now)) == n-lost {
+				break
+			}
+		}
+		t.Logf("%d daemons: loss known after %d rounds, largest message %d bytes, %.1f messages a daemon and round",
+			n, rounds, crowd.largest, float64(crowd.carried)/float64(n)/float64(140+rounds))
+		c.Assert(rounds < 15, qt.IsTrue, qt.Commentf("%d rounds", rounds))
+		c.Assert(crowd.largest < gossip.MaxMessage/2, qt.IsTrue)
+		crowd.down = make(map[int]bool)
+		for range 40 {
+			crowd.round(t)
+		}
+		c.Assert(crowd.states[0].Live(crowd.now), qt.HasLen, n)
+	}
+}
+
+func TestNewRunReplacesTheOld(t *testing.T) {
+	c := qt.New(t)
+	s := gossip.NewState(entry("a", 1), gossip.DefaultTimings(), 1)
+	old := entry("b", 5)
+	old.Beat = 900
+	c.Assert(s.Merge(start, []gossip.Entry{old}), qt.DeepEquals, []ident.Host{"b"})
+	c.Assert(s.Merge(start, []gossip.Entry{old}), qt.HasLen, 0)
+	next := entry("b", 6)
+	c.Assert(s.Merge(start, []gossip.Entry{next}), qt.DeepEquals, []ident.Host{"b"})
+	c.Assert(s.Merge(start, []gossip.Entry{old}), qt.HasLen, 0, qt.Commentf("the earlier run does not come back"))
+	e, live := s.Find(start, "b")
+	c.Assert(live, qt.IsTrue)
+	c.Assert(e.Inc.Boot, qt.Equals, uint64(6))
+	c.Assert(s.Merge(start, []gossip.Entry{entry("a", 9)}), qt.HasLen, 0, qt.Commentf("nobody tells a daemon about itself"))
+}
+
+func TestOldNewsKeepNobodyAlive(t *testing.T) {
+	c := qt.New(t)
+	s := gossip.NewState(entry("a", 1), gossip.DefaultTimings(), 1)
+	b := entry("b", 5)
+	s.Merge(start, []gossip.Entry{b})
+	late := start.Add(gossip.DefaultTimings().Suspect + time.Millisecond)
+	s.Merge(late, []gossip.Entry{b})
+	_, live := s.Find(late, "b")
+	c.Assert(live, qt.IsFalse)
+	b.Beat++
+	s.Merge(late, []gossip.Entry{b})
+	_, live = s.Find(late, "b")
+	c.Assert(live, qt.IsTrue)
+}
+
+func TestSocket(t *testing.T) {
+	c := qt.New(t)
+	got := make(chan gossip.Message, 1)
+	a, err := gossip.Listen("127.0.0.1:0", func(m gossip.Message) { got <- m }, logr.Discard())
+	c.Assert(err, qt.IsNil)
+	b, err := gossip.Listen("127.0.0.1:0", func(gossip.Message) {}, logr.Discard())
+	c.Assert(err, qt.IsNil)
+	sent := gossip.Message{
+		From: ident.NewIncarnation("b", 2), Entries: []gossip.Entry{entry("b", 2)},
+		Renewal: &gossip.Renewal{Number: 3}, Changed: &gossip.Version{Name: "x", Number: 9}, Urgent: true,
+	}
+	b.Send(a.Addr(), sent)
+	select {
+	case m := <-got:
+		c.Assert(m, qt.DeepEquals, sent)
+	case <-time.After(5 * time.Second):
+		c.Fatal("nothing arrived")
+	}
+	b.Send("nonsense", sent)
+	c.Assert(a.Close(), qt.IsNil)
+	c.Assert(b.Close(), qt.IsNil)
+}
+
+func FuzzMessage(f *testing.F) {
+	data, err := gossip.Message{From: ident.NewIncarnation("b", 2), Entries: []gossip.Entry{entry("b", 2)}}.Encode()
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(data)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		m, err := gossip.DecodeMessage(data)
+		if err == nil && len(m.Entries) > 0 {
+			gossip.NewState(entry("a", 1), gossip.DefaultTimings(), 1).Merge(start, m.Entries)
+		}
+	})
+}
--- a/gossip/socket.go
+++ b/gossip/socket.go
@@ -53,6 +53,9 @@
 	return s, nil
 }
 
+// Addr returns the address that the socket is bound to.
+func (s *Socket) Addr() string { return s.conn.LocalAddr().String() }
+
 // Send sends a message to an address, or loses it.
 func (s *Socket) Send(addr string, m Message) {
 	to, err := netip.ParseAddrPort(addr)
--- a/gossip/state.go
+++ b/gossip/state.go
@@ -25,12 +25,12 @@
 }
 
 // DefaultTimings returns timings with which news reaches a fleet of a hundred
-// within a second, and a loss is noticed within two.
+// within a second, and a loss is noticed within three.
 func DefaultTimings() Timings {
 	return Timings{
 		Interval: 200 * time.Millisecond,
 		Fanout:   3,
-		Suspect:  1600 * time.Millisecond,
+		Suspect:  2400 * time.Millisecond,
 		Forget:   2 * time.Minute,
 	}
 }
