--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -65,7 +65,7 @@
 			c.largest = max(c.largest, len(data))
 			if to != nil && !c.down[k] {
 				to.Merge(c.now, m.Entries)
-				to.Count(c.now, m.Beats)
+				to.Merge(c.now, s.Entries(to.Count(c.now, m.Beats)))
 			}
 		}
 	}
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -19,6 +19,8 @@
 	Entries []Entry `cbor:"2,keyasint,omitempty"`
 	// Beats are the counters of daemons that the receiver may know already.
 	Beats []Beat `cbor:"8,keyasint,omitempty"`
+	// Want asks for the entries of runs that the sender does not know.
+	Want []uint32 `cbor:"10,keyasint,omitempty"`
 	// Renewal asks a witness to renew the sender's lease; Renewed answers it.
 	Renewal *Renewal `cbor:"3,keyasint,omitempty"`
 	Renewed *Renewal `cbor:"4,keyasint,omitempty"`
--- a/gossip/state.go
+++ b/gossip/state.go
@@ -30,7 +30,7 @@
 	return Timings{
 		Interval: 200 * time.Millisecond,
 		Fanout:   3,
-		Suspect:  2400 * time.Millisecond,
+		Suspect:  1800 * time.Millisecond,
 		Forget:   2 * time.Minute,
 	}
 }
@@ -40,6 +40,9 @@
 	// counters: they keep a datagram near the usual size of a packet.
 	maxEntries = 8
 	maxBeats   = 100
+	// tellNews is how often a daemon passes on that another one runs anew or has
+	// changed its condition.
+	tellNews = 6
 )
 
 // peer is what is known of another host.
@@ -50,7 +53,7 @@
 	run  uint32
 	// heard is when the counter last rose.
 	heard time.Time
-	// told is how often the newest entry was passed on.
+	// told is how often the newest change of run or condition was passed on.
 	told int
 	// seed marks an address that nothing was heard from yet.
 	seed bool
@@ -65,8 +68,8 @@
 	runs    map[uint32]*peer
 	rng     *rand.Rand
 	order   []ident.Host
-	// turn is where the next message's counters begin.
-	turn int
+	// turn is where the next message's counters begin, cursor where its entries do.
+	turn, cursor int
 }
 
 // NewState returns the knowledge of a daemon that has heard of nobody. Seed
@@ -122,6 +125,7 @@
 		}
 		if p.seed || p.entry.Inc != e.Inc || p.entry.Condition != e.Condition {
 			changed = append(changed, e.Inc.Host)
+			p.told = 0
 		}
 		s.renew(now, p, e)
 	}
@@ -138,7 +142,7 @@
 	if e.Beat > p.beat {
 		p.beat, p.heard = e.Beat, now
 	}
-	p.entry, p.told, p.seed = e, 0, false
+	p.entry, p.seed = e, false
 }
 
 // runOf returns the short name of a run of a daemon.
@@ -146,13 +150,20 @@
 	return uint32(xxhash.Sum64String(inc.String()))
 }
 
-// Count takes the counters that another daemon has heard of.
-func (s *State) Count(now time.Time, beats []Beat) {
+// Count takes the counters that another daemon has heard of, and returns the runs
+// that are not known here.
+func (s *State) Count(now time.Time, beats []Beat) []uint32 {
+	var unknown []uint32
 	for _, b := range beats {
-		if p, ok := s.runs[b.Run]; ok && b.Count > p.beat {
+		p, ok := s.runs[b.Run]
+		switch {
+		case !ok && b.Run != runOf(s.self.Inc):
+			unknown = append(unknown, b.Run)
+		case ok && b.Count > p.beat:
 			p.beat, p.heard = b.Count, now
 		}
 	}
+	return unknown
 }
 
 // Beats returns the counters that a message carries: all that are known, or a part
@@ -240,22 +251,40 @@
 	}
 }
 
-// Digest returns what the daemon tells another: its own entry, and those of
-// others that were passed on least often.
+// Digest returns what the daemon tells another: its own entry, then news, then
+// others in turn.
 func (s *State) Digest(to ident.Host) []Entry {
-	var others []*peer
-	for host, p := range s.peers {
-		if host != to && !p.seed {
-			others = append(others, p)
-		}
-	}
-	slices.SortFunc(others, func(a, b *peer) int {
-		return cmp.Or(cmp.Compare(a.told, b.told), b.heard.Compare(a.heard), compareHosts(a.entry, b.entry))
+	hosts := s.hosts()
+	slices.SortStableFunc(hosts, func(a, b ident.Host) int {
+		return cmp.Compare(s.peers[a].told, s.peers[b].told)
 	})
 	entries := []Entry{s.self}
-	for _, p := range others[:min(len(others), maxEntries-1)] {
-		p.told++
-		entries = append(entries, p.entry)
+	for _, host := range hosts {
+		p := s.peers[host]
+		if host != to && !p.seed && p.told < tellNews && len(entries) < maxEntries {
+			p.told++
+			entries = append(entries, p.entry)
+		}
+	}
+	hosts = s.hosts()
+	for i := 0; i < len(hosts) && len(entries) < maxEntries; i++ {
+		s.cursor++
+		host := hosts[s.cursor%len(hosts)]
+		known := slices.ContainsFunc(entries, func(e Entry) bool { return e.Inc.Host == host })
+		if p := s.peers[host]; host != to && !p.seed && !known {
+			entries = append(entries, p.entry)
+		}
+	}
+	return entries
+}
+
+// Entries returns the entries of the given runs, as far as they are known.
+func (s *State) Entries(runs []uint32) []Entry {
+	var entries []Entry
+	for _, run := range runs[:min(len(runs), maxEntries)] {
+		if p, ok := s.runs[run]; ok {
+			entries = append(entries, p.entry)
+		}
 	}
 	return entries
 }
--- a/mesh/fleet.go
+++ b/mesh/fleet.go
@@ -72,6 +72,15 @@
 	if len(m.Entries) > 0 {
 		n.takeEntries(now, m)
 	}
+	if len(m.Want) > 0 {
+		n.mu.Lock()
+		from, _ := n.state.Find(now, m.From.Host)
+		reply := gossip.Message{From: n.self, Entries: append([]gossip.Entry{n.state.Self()}, n.state.Entries(m.Want)...)}
+		n.mu.Unlock()
+		if from.Addr != "" {
+			n.socket.Send(from.Addr, reply)
+		}
+	}
 	if m.Renewal != nil {
 		n.answerRenewal(now, m)
 	}
@@ -108,7 +117,7 @@
 	n.mu.Lock()
 	_, known := n.state.Find(now, m.From.Host)
 	changed := n.state.Merge(now, m.Entries)
-	n.state.Count(now, m.Beats)
+	unknown := n.state.Count(now, m.Beats)
 	sender, _ := n.state.Find(now, m.From.Host)
 	reply := gossip.Message{From: n.self, Entries: n.state.Digest(m.From.Host)}
 	var live []gossip.Entry
@@ -120,6 +129,9 @@
 	if !known && sender.Addr != "" {
 		n.socket.Send(sender.Addr, reply)
 	}
+	if len(unknown) > 0 && sender.Addr != "" {
+		n.socket.Send(sender.Addr, gossip.Message{From: n.self, Want: unknown})
+	}
 	for _, host := range changed {
 		n.logPeer(now, host, len(live))
 	}
--- /dev/null
+++ b/mesh/fleet_test.go
@@ -0,0 +1,300 @@
+package mesh_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/url"
+	"os"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/monsoonmoor/monsoonmoor/calls"
+	"github.com/monsoonmoor/monsoonmoor/ident"
+	"github.com/monsoonmoor/monsoonmoor/mesh"
+	"github.com/monsoonmoor/monsoonmoor/owner"
+	"github.com/monsoonmoor/monsoonmoor/store"
+	"github.com/monsoonmoor/monsoonmoor/upconn"
+	"github.com/monsoonmoor/monsoonmoor/vhost"
+)
+
+const (
+	ordered = ident.Service("events")
+	plain   = ident.Service("media")
+)
+
+// dialect is a small protocol between node and upstream.
+type dialect struct{}
+
+func (dialect) Request(call *calls.Call, _ time.Duration, _ string) *http.Request {
+	return &http.Request{
+		Method: call.Method, URL: &url.URL{Opaque: call.Path}, Host: "up",
+		Header: http.Header{"X-Id": {call.ID}, "X-Key": {strconv.Itoa(int(call.Point))}},
+	}
+}
+
+func (dialect) Read(call *calls.Call, _ string, response *http.Response) upconn.Reading {
+	switch {
+	case response.Header.Get("X-Id") != call.ID:
+		return upconn.Stale
+	case response.StatusCode == http.StatusMisdirectedRequest:
+		return upconn.NotHeld
+	}
+	return upconn.Mine
+}
+
+// host is one machine: a node and the upstream beside it.
+type host struct {
+	name     ident.Host
+	service  ident.Service
+	peers    string
+	store    *store.Mem
+	node     *mesh.Node
+	upstream *httptest.Server
+
+	mu    sync.Mutex
+	holds map[uint32]time.Time
+	rows  []owner.Granted
+	ran   int
+	stop  context.CancelFunc
+}
+
+// freeAddr returns an address that nothing listens on.
+func freeAddr(c *qt.C) string {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+func decodePlan([]byte) (*vhost.Plan, error) {
+	return vhost.New(1, []*vhost.Route{
+		vhost.NewRoute("shop", "/e/", []vhost.Part{{Service: ordered, Weight: 1}}, calls.Terms{
+			Route: "e", Repeatable: true, Attempts: 2, Target: time.Second, Timeout: 2 * time.Second,
+		}),
+		vhost.NewRoute("shop", "/m/", []vhost.Part{{Service: plain, Weight: 1}}, calls.Terms{
+			Route: "m", Repeatable: true, Attempts: 2, Target: time.Second, Timeout: 2 * time.Second,
+		}),
+	}, []vhost.Service{{Name: ordered, Ordered: true}, {Name: plain}}, vhost.Limits{})
+}
+
+// interval is the time between two heartbeats of a test's upstream.
+const interval = 200 * time.Millisecond
+
+func newHost(c *qt.C, name string, service ident.Service, mem *store.Mem) *host {
+	h := &host{name: ident.Host(name), service: service, peers: freeAddr(c), store: mem}
+	h.upstream = httptest.NewServer(h)
+	h.start(c)
+	c.Cleanup(func() { h.close() })
+	return h
+}
+
+func (h *host) start(c *qt.C) {
+	node, err := mesh.New(mesh.Settings{
+		Host: h.name, Zone: "z", Service: h.service, Upstream: h.upstream.Listener.Addr().String(), Peers: h.peers,
+		Interval: interval, MaxHold: 10 * time.Second, Drain: time.Second,
+		RetryRatio: 0.2, RetrySlack: 50, RetryWindow: 10 * time.Second,
+	}, mesh.Ports{Store: h.store, Dialect: dialect{}, Config: mesh.Config{Topic: "op", Key: "config", Decode: decodePlan}})
+	c.Assert(err, qt.IsNil)
+	ctx, cancel := context.WithCancel(context.Background())
+	h.mu.Lock()
+	h.node, h.stop = node, cancel
+	h.mu.Unlock()
+	go h.beat(ctx, node, time.Now().UnixMilli())
+}
+
+func (h *host) close() {
+	h.stop()
+	_ = h.node.Close()
+	h.upstream.Close()
+}
+
+// beat sends heartbeats and takes what they are answered with.
+func (h *host) beat(ctx context.Context, node *mesh.Node, life int64) {
+	for n := uint64(1); ctx.Err() == nil; n++ {
+		sent := time.Now()
+		h.mu.Lock()
+		hb := mesh.Heartbeat{Slots: 8, Heartbeat: owner.Heartbeat{Life: life, ID: string(h.name), Number: n}}
+		for _, r := range h.rows {
+			hb.Holds = append(hb.Holds, owner.Held{Span: r.Span, Fence: r.Fence})
+		}
+		h.mu.Unlock()
+		g := node.Heartbeat(ctx, hb)
+		if g.Known {
+			h.mu.Lock()
+			h.rows = g.Rows
+			h.mu.Unlock()
+		}
+		time.Sleep(max(0, interval-time.Since(sent)))
+	}
+}
+
+// ServeHTTP runs a call if its key is held.
+func (h *host) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("X-Id", r.Header.Get("X-Id"))
+	key, _ := strconv.Atoi(r.Header.Get("X-Key"))
+	h.mu.Lock()
+	held := h.service != ordered
+	for _, row := range h.rows {
+		held = held || row.Span.Has(uint32(key))
+	}
+	if held {
+		h.ran++
+	}
+	h.mu.Unlock()
+	if !held {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	_, _ = w.Write([]byte("ran at " + string(h.name)))
+}
+
+// fleet starts hosts of both services and waits until all keys are held.
+func fleet(c *qt.C, events, media int) (*store.Mem, []*host) {
+	mem := store.NewMem(clockwork.NewRealClock())
+	_, err := mem.Put(context.Background(), store.Write{Topic: "op", Key: "config", Value: []byte("x"), At: store.Anywhere})
+	c.Assert(err, qt.IsNil)
+	var hosts []*host
+	for i := range events {
+		hosts = append(hosts, newHost(c, fmt.Sprintf("e%02d", i), ordered, mem))
+	}
+	for i := range media {
+		hosts = append(hosts, newHost(c, fmt.Sprintf("m%02d", i), plain, mem))
+	}
+	for _, key := range []uint32{0, 20000, 40000, 65535} {
+		eventually(c, func() bool { return call(hosts[0].node, key) == nil })
+	}
+	return mem, hosts
+}
+
+func eventually(c *qt.C, f func() bool) {
+	c.Helper()
+	for end := time.Now().Add(15 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if f() {
+			return
+		}
+	}
+	c.Fatal("it did not come about within 15 s")
+}
+
+var next struct {
+	sync.Mutex
+	id int
+}
+
+func newCall(service ident.Service, key uint32) *calls.Call {
+	next.Lock()
+	next.id++
+	id := next.id
+	next.Unlock()
+	plan, _ := decodePlan(nil)
+	route, _ := plan.Match("shop", map[ident.Service]string{ordered: "/e/1", plain: "/m/1"}[service])
+	return &calls.Call{
+		ID: fmt.Sprint(id), Service: service, Method: http.MethodGet, Path: "/x", Body: calls.NewBuffered(nil),
+		Deadline: time.Now().Add(2 * time.Second), Point: key, Ordered: service == ordered, Terms: route.Terms(),
+	}
+}
+
+func call(node *mesh.Node, key uint32) error {
+	_, err := node.Run(context.Background(), newCall(ordered, key))
+	return err
+}
+
+func TestCallsReachOwners(t *testing.T) {
+	c := qt.New(t)
+	_, hosts := fleet(c, 4, 2)
+	for i := range 200 {
+		c.Assert(call(hosts[i%len(hosts)].node, uint32(i*327)), qt.IsNil)
+		_, err := hosts[i%len(hosts)].node.Run(context.Background(), newCall(plain, 0))
+		c.Assert(err, qt.IsNil)
+	}
+	for _, h := range hosts {
+		h.mu.Lock()
+		c.Check(h.ran > 0, qt.IsTrue, qt.Commentf("%s ran nothing", h.name))
+		h.mu.Unlock()
+	}
+}
+
+func TestLossOfADaemon(t *testing.T) {
+	c := qt.New(t)
+	_, hosts := fleet(c, 4, 2)
+	lost := hosts[1]
+	lost.close()
+	begun := time.Now()
+	for _, key := range []uint32{0, 9000, 20000, 30000, 40000, 50000, 65535} {
+		eventually(c, func() bool { return call(hosts[0].node, key) == nil })
+	}
+	t.Logf("all keys are served again after %v", time.Since(begun))
+}
+
+func TestRestartBesideALivingUpstream(t *testing.T) {
+	c := qt.New(t)
+	_, hosts := fleet(c, 4, 2)
+	again := hosts[1]
+	again.stop()
+	c.Assert(again.node.Close(), qt.IsNil)
+	again.start(c)
+	begun := time.Now()
+	for _, key := range []uint32{0, 9000, 20000, 30000, 40000, 50000, 65535} {
+		eventually(c, func() bool { return call(hosts[0].node, key) == nil })
+	}
+	t.Logf("all keys are served again after %v", time.Since(begun))
+}
+
+func TestStoreOutage(t *testing.T) {
+	c := qt.New(t)
+	mem, hosts := fleet(c, 4, 2)
+	mem.SetFaults(store.MemFaults{Down: true})
+	// Longer than a lease and a grant.
+	for end := time.Now().Add(4 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		for _, key := range []uint32{0, 20000, 40000, 65535} {
+			c.Assert(call(hosts[0].node, key), qt.IsNil)
+		}
+	}
+	mem.SetFaults(store.MemFaults{})
+}
+
+func TestStopGivesKeysAway(t *testing.T) {
+	c := qt.New(t)
+	_, hosts := fleet(c, 4, 2)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	stopped := make(chan error, 1)
+	go func() { stopped <- hosts[1].node.Stop(ctx) }()
+	for failed := 0; ; {
+		if err := call(hosts[0].node, uint32(time.Now().UnixNano()%65536)); err != nil {
+			failed++
+			c.Assert(failed < 3, qt.IsTrue, qt.Commentf("%v", err))
+		}
+		select {
+		case err := <-stopped:
+			c.Assert(err, qt.IsNil)
+			return
+		default:
+		}
+	}
+}
+
+// TestIdleFleet lets a fleet of MOOR_IDLE daemons idle, for profiles by hand.
+func TestIdleFleet(t *testing.T) {
+	n, err := strconv.Atoi(os.Getenv("MOOR_IDLE"))
+	if err != nil {
+		n = 5
+	}
+	c := qt.New(t)
+	mem, _ := fleet(c, n, n/2)
+	before := mem.Calls()
+	length := time.Second
+	if n > 5 {
+		length = 20 * time.Second
+	}
+	time.Sleep(length)
+	t.Logf("%d daemons made %d store calls in %v", n+n/2, mem.Calls()-before, length)
+}
