--- a/atlas/atlas_test.go
+++ b/atlas/atlas_test.go
@@ -19,7 +19,7 @@
 
 func TestSpans(t *testing.T) {
 	c := qt.New(t)
-	s := func(from, to uint32) atlas.Span { return atlas.NewSpan(from, to) }
+	s := atlas.NewSpan
 	for _, test := range []struct {
 		name          string
 		spans, others []atlas.Span
--- a/gossip/state.go
+++ b/gossip/state.go
@@ -68,6 +68,8 @@
 	runs    map[uint32]*peer
 	rng     *rand.Rand
 	order   []ident.Host
+	// sorted holds the hosts of all peers in order; nil after a change.
+	sorted []ident.Host
 	// turn is where the next message's counters begin, cursor where its entries do.
 	turn, cursor int
 }
@@ -105,6 +107,7 @@
 		return
 	}
 	s.peers[inc.Host] = &peer{entry: Entry{Inc: inc, Addr: addr}, heard: now, seed: true}
+	s.sorted = nil
 }
 
 // Merge takes what another daemon told, and returns the hosts whose run or
@@ -119,6 +122,7 @@
 		if !ok {
 			p = &peer{seed: true}
 			s.peers[e.Inc.Host] = p
+			s.sorted = nil
 		}
 		if !p.seed && !e.newer(p.entry) {
 			continue
@@ -182,14 +186,16 @@
 	return beats
 }
 
-// hosts returns the hosts that are known, in order.
+// hosts returns the hosts that are known, in order. It must not be changed.
 func (s *State) hosts() []ident.Host {
-	hosts := make([]ident.Host, 0, len(s.peers))
-	for host := range s.peers {
-		hosts = append(hosts, host)
+	if s.sorted == nil {
+		s.sorted = make([]ident.Host, 0, len(s.peers))
+		for host := range s.peers {
+			s.sorted = append(s.sorted, host)
+		}
+		slices.Sort(s.sorted)
 	}
-	slices.Sort(hosts)
-	return hosts
+	return s.sorted
 }
 
 // Targets returns the entries of the daemons that this round writes to. Every
@@ -223,7 +229,7 @@
 // next returns the next host in a random order that holds every host once.
 func (s *State) next() ident.Host {
 	if len(s.order) == 0 {
-		s.order = s.hosts()
+		s.order = slices.Clone(s.hosts())
 		s.rng.Shuffle(len(s.order), func(i, k int) { s.order[i], s.order[k] = s.order[k], s.order[i] })
 	}
 	host := s.order[len(s.order)-1]
@@ -247,6 +253,7 @@
 		if now.Sub(p.heard) > s.timings.Forget {
 			delete(s.peers, host)
 			delete(s.runs, p.run)
+			s.sorted = nil
 		}
 	}
 }
@@ -255,18 +262,16 @@
 // others in turn.
 func (s *State) Digest(to ident.Host) []Entry {
 	hosts := s.hosts()
-	slices.SortStableFunc(hosts, func(a, b ident.Host) int {
-		return cmp.Compare(s.peers[a].told, s.peers[b].told)
-	})
-	entries := []Entry{s.self}
-	for _, host := range hosts {
+	entries := make([]Entry, 0, maxEntries)
+	entries = append(entries, s.self)
+	for i := range hosts {
+		host := hosts[(s.cursor+i)%len(hosts)]
 		p := s.peers[host]
 		if host != to && !p.seed && p.told < tellNews && len(entries) < maxEntries {
 			p.told++
 			entries = append(entries, p.entry)
 		}
 	}
-	hosts = s.hosts()
 	for i := 0; i < len(hosts) && len(entries) < maxEntries; i++ {
 		s.cursor++
 		host := hosts[s.cursor%len(hosts)]
@@ -319,23 +324,19 @@
 // Live returns the entries of all live daemons, this one's included, in the
 // order of their hosts.
 func (s *State) Live(now time.Time) []Entry {
-	live := []Entry{s.self}
-	for _, p := range s.peers {
-		if s.isLive(p, now) {
+	live := make([]Entry, 0, len(s.peers)+1)
+	own := false
+	for _, host := range s.hosts() {
+		if !own && host > s.self.Inc.Host {
+			own = true
+			live = append(live, s.self)
+		}
+		if p := s.peers[host]; s.isLive(p, now) {
 			live = append(live, p.entry)
 		}
 	}
-	slices.SortFunc(live, compareHosts)
-	return live
-}
-
-// Known returns the entries of all daemons ever heard of, this one's not, in the
-// order of their hosts.
-func (s *State) Known() []Entry {
-	known := make([]Entry, 0, len(s.peers))
-	for _, p := range s.peers {
-		known = append(known, p.entry)
+	if !own {
+		live = append(live, s.self)
 	}
-	slices.SortFunc(known, compareHosts)
-	return known
+	return live
 }
--- a/mesh/desk.go
+++ b/mesh/desk.go
@@ -105,7 +105,7 @@
 	if n.machine != nil {
 		n.machine.Heartbeat(now, hb.Heartbeat)
 	}
-	wait := n.prepareWait(now, hb)
+	wait := n.prepareWait(now)
 	n.notify()
 	n.mu.Unlock()
 	if changed {
@@ -129,7 +129,7 @@
 
 // prepareWait returns what ends the wait for a change of grants; nil when the
 // heartbeat is to be answered at once. It is called with mu held.
-func (n *Node) prepareWait(now time.Time, hb Heartbeat) chan struct{} {
+func (n *Node) prepareWait(now time.Time) chan struct{} {
 	if n.machine == nil || n.machine.IsReleasing() || n.machine.WantsGrant(now) {
 		return nil
 	}
--- a/mesh/fleet.go
+++ b/mesh/fleet.go
@@ -86,11 +86,15 @@
 	}
 	if m.Renewed != nil {
 		n.mu.Lock()
+		waiting := false
 		if n.machine != nil {
 			n.machine.Renewed(m.From, m.Renewed.Number)
+			waiting = !n.machine.IsMember()
 		}
 		n.mu.Unlock()
-		n.kick()
+		if waiting {
+			n.kick()
+		}
 	}
 	if m.Ballot != nil {
 		n.answerBallot(now, m)
--- a/mesh/fleet_test.go
+++ b/mesh/fleet_test.go
@@ -59,11 +59,10 @@
 	node     *mesh.Node
 	upstream *httptest.Server
 
-	mu    sync.Mutex
-	holds map[uint32]time.Time
-	rows  []owner.Granted
-	ran   int
-	stop  context.CancelFunc
+	mu   sync.Mutex
+	rows []owner.Granted
+	ran  int
+	stop context.CancelFunc
 }
 
 // freeAddr returns an address that nothing listens on.
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -28,7 +28,7 @@
 
 const (
 	// tickTime is the time between two looks at leases, members and moves.
-	tickTime = 50 * time.Millisecond
+	tickTime = 100 * time.Millisecond
 	// heatTime is the time between two readings of the keys' load.
 	heatTime = 250 * time.Millisecond
 )
--- a/owner/heartbeat.go
+++ b/owner/heartbeat.go
@@ -135,7 +135,7 @@
 			return true
 		}
 	}
-	if !m.isMember() {
+	if !m.IsMember() {
 		_, ok := m.table.Member(m.host)
 		return !ok && len(u.holds) > 0
 	}
--- a/owner/machine.go
+++ b/owner/machine.go
@@ -34,8 +34,9 @@
 	releases []*release
 	// stopping is set once the daemon gives everything away to end.
 	stopping bool
-	// moved is when the last move for load began.
-	moved time.Time
+	// moved is when the last move for load began, looked when it was last
+	// considered.
+	moved, looked time.Time
 
 	// renewals holds when each renewal was sent, by its number.
 	renewals map[uint64]time.Time
@@ -43,6 +44,8 @@
 	renewed  time.Time
 	// candidates are the witnesses that the next version should name.
 	candidates []ident.Incarnation
+	picked     time.Time
+	ranks      map[ident.Host]uint64
 	// refused holds the witnesses that have voted against the lease.
 	refused map[ident.Incarnation]bool
 
@@ -134,6 +137,7 @@
 		renewals: make(map[uint64]time.Time),
 		suspects: make(map[ident.Host]*suspect),
 		refused:  make(map[ident.Incarnation]bool),
+		ranks:    make(map[ident.Host]uint64),
 	}
 	for _, opt := range opts {
 		opt(m)
@@ -154,14 +158,14 @@
 
 // LeaseUntil returns when the lease ends; the zero time when none is held.
 func (m *Machine) LeaseUntil() time.Time {
-	if !m.isMember() {
+	if !m.IsMember() {
 		return time.Time{}
 	}
 	return m.until()
 }
 
-// isMember reports whether the newest table names this run.
-func (m *Machine) isMember() bool {
+// IsMember reports whether the newest table names this run.
+func (m *Machine) IsMember() bool {
 	member, ok := m.table.Member(m.host)
 	return ok && member.Inc == m.Lease()
 }
@@ -202,7 +206,7 @@
 // dropStaleReleases forgets moves of keys that are no longer this member's.
 func (m *Machine) dropStaleReleases() {
 	own := atlas.Spans(m.table.RowsOf(m.host))
-	if !m.isMember() {
+	if !m.IsMember() {
 		own = nil
 	}
 	m.releases = slices.DeleteFunc(m.releases, func(r *release) bool {
--- a/owner/moves.go
+++ b/owner/moves.go
@@ -12,6 +12,8 @@
 	// moveInterval is the least time between two moves for load: the rates must
 	// have followed the last one.
 	moveInterval = 1200 * time.Millisecond
+	// lookInterval is the time between two looks at whether a move is due.
+	lookInterval = 200 * time.Millisecond
 	// stuckTime is how long a move may take before it is given up.
 	stuckTime = 4 * time.Second
 )
@@ -19,16 +21,17 @@
 // planMoves starts the moves that are due and reports whether there is a new
 // one.
 func (m *Machine) planMoves(now time.Time) bool {
-	if !m.isMember() || !m.upstream.present || !now.Before(m.until()) {
+	if !m.IsMember() || !m.upstream.present || !now.Before(m.until()) {
 		return false
 	}
 	if m.stopping || m.upstream.leaving {
 		return m.releaseAll(now)
 	}
 	m.giveUpStuck(now)
-	if len(m.releases) > 0 || now.Sub(m.moved) < moveInterval || m.proposal != nil {
+	if len(m.releases) > 0 || now.Sub(m.moved) < moveInterval || now.Sub(m.looked) < lookInterval || m.proposal != nil {
 		return false
 	}
+	m.looked = now
 	pieces := plan.Moves(m.host, m.table.RowsOf(m.host), m.heat, m.loads())
 	if len(pieces) == 0 {
 		return false
--- a/owner/propose.go
+++ b/owner/propose.go
@@ -69,7 +69,7 @@
 // hasBusiness reports whether the member may have something to propose.
 func (m *Machine) hasBusiness(now time.Time) bool {
 	done := slices.ContainsFunc(m.releases, func(r *release) bool { return r.done })
-	return done || len(m.suspects) > 0 || !m.unowned.IsZero() || m.isFree(now) || m.isMember() != m.wantsKeys() ||
+	return done || len(m.suspects) > 0 || !m.unowned.IsZero() || m.isFree(now) || m.IsMember() != m.wantsKeys() ||
 		m.needsWitnesses(now)
 }
 
@@ -88,12 +88,12 @@
 func (m *Machine) propose(now time.Time) *atlas.Table {
 	c := m.table.Change()
 	m.proposeMembership(now, c)
-	if _, ok := m.table.Member(m.host); ok && m.isMember() {
+	if _, ok := m.table.Member(m.host); ok && m.IsMember() {
 		m.proposeReleases(c)
 		m.proposeLoss(now, c)
 	}
 	m.proposeLeave(now, c)
-	if m.isMember() || c.Changed() {
+	if m.IsMember() || c.Changed() {
 		m.proposeTakeovers(c)
 		m.proposeUnowned(now, c)
 	}
@@ -106,7 +106,7 @@
 
 // proposeMembership makes this run a member, or names other witnesses.
 func (m *Machine) proposeMembership(now time.Time, c *atlas.Change) {
-	joined := m.isMember()
+	joined := m.IsMember()
 	switch {
 	case joined && (!m.needsWitnesses(now) || !m.isCovered(now)):
 		return
@@ -242,7 +242,7 @@
 		}
 		m.unowned = now
 	}
-	if !m.isMember() || !m.wantsKeys() {
+	if !m.IsMember() || !m.wantsKeys() {
 		return
 	}
 	waited := now.Sub(m.unowned)
@@ -310,7 +310,7 @@
 		return false
 	}
 	if host == m.host {
-		return m.isMember() && m.wantsKeys()
+		return m.IsMember() && m.wantsKeys()
 	}
 	for _, e := range m.live {
 		if e.Inc.Host == host {
--- a/owner/renew.go
+++ b/owner/renew.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -17,6 +18,8 @@
 	maxWitnesses = 5
 	// keptRenewals is the number of renewals whose answers still count.
 	keptRenewals = 16
+	// pickInterval is the time between two looks at the choice of witnesses.
+	pickInterval = 200 * time.Millisecond
 	// gatherTime is how long a daemon that starts listens for others before it
 	// picks witnesses, unless it knows enough of them.
 	gatherTime = 300 * time.Millisecond
@@ -54,7 +57,10 @@
 // renew sends renewals when they are due.
 func (m *Machine) renew(now time.Time) []Message {
 	m.rename(now)
-	m.pickWitnesses(now)
+	if now.Sub(m.picked) >= pickInterval || !m.IsMember() {
+		m.picked = now
+		m.pickWitnesses(now)
+	}
 	if now.Sub(m.renewed) < m.terms.Renewal || !m.wantsLease() {
 		return nil
 	}
@@ -85,15 +91,18 @@
 
 // wantsLease reports whether the member holds or needs a lease.
 func (m *Machine) wantsLease() bool {
-	return m.read && (m.isMember() || m.wantsKeys())
+	return m.read && (m.IsMember() || m.wantsKeys())
 }
 
 // pickWitnesses chooses the witnesses that the table should name: the present
 // ones that are well, and others by a fixed rank of their own for each member.
 func (m *Machine) pickWitnesses(now time.Time) {
-	others := slices.DeleteFunc(slices.Clone(m.live), func(e gossip.Entry) bool {
-		return e.Inc.Host == m.host || e.Condition == gossip.Stopping
-	})
+	others := make([]ident.Incarnation, 0, len(m.live))
+	for _, e := range m.live {
+		if e.Inc.Host != m.host && e.Condition != gossip.Stopping {
+			others = append(others, e.Inc)
+		}
+	}
 	count := min(maxWitnesses, len(others))
 	if count%2 == 0 {
 		count--
@@ -104,22 +113,21 @@
 	}
 	var picked []ident.Incarnation
 	for _, w := range m.holder.Witnesses() {
-		if m.isMember() && len(picked) < count && m.isWell(now, w) {
+		if m.IsMember() && len(picked) < count && m.isWell(now, w) {
 			picked = append(picked, w)
 		}
 	}
-	slices.SortFunc(others, func(a, b gossip.Entry) int {
-		if m.rank(a.Inc.Host) < m.rank(b.Inc.Host) {
-			return -1
-		}
-		return 1
-	})
-	for _, e := range others {
+	if len(picked) < count {
+		slices.SortFunc(others, func(a, b ident.Incarnation) int {
+			return cmp.Compare(m.rank(a.Host), m.rank(b.Host))
+		})
+	}
+	for _, inc := range others {
 		if len(picked) == count {
 			break
 		}
-		if !slices.Contains(picked, e.Inc) && !m.isFailing(now, e.Inc) {
-			picked = append(picked, e.Inc)
+		if !slices.Contains(picked, inc) && !m.isFailing(now, inc) {
+			picked = append(picked, inc)
 		}
 	}
 	slices.SortFunc(picked, ident.Incarnation.Compare)
@@ -132,7 +140,12 @@
 // rank orders hosts differently for each member, so that the duty of a witness
 // is spread.
 func (m *Machine) rank(host ident.Host) uint64 {
-	return xxhash.Sum64String(string(m.host) + "\x00" + string(host))
+	rank, ok := m.ranks[host]
+	if !ok {
+		rank = xxhash.Sum64String(string(m.host) + "\x00" + string(host))
+		m.ranks[host] = rank
+	}
+	return rank
 }
 
 // isWell reports whether a witness has answered lately and is not known to have
--- a/owner/takeover.go
+++ b/owner/takeover.go
@@ -31,7 +31,7 @@
 			m.suspects[host] = s
 			m.note("member suspected", "member", member.Inc.String(), "rows", len(m.table.RowsOf(host)))
 		}
-		if !m.isMember() || !m.upstream.present || now.Sub(s.since) < stepIn*time.Duration(m.turn()) ||
+		if !m.IsMember() || !m.upstream.present || now.Sub(s.since) < stepIn*time.Duration(m.turn()) ||
 			now.Sub(s.asked) < ballotInterval {
 			continue
 		}
@@ -69,7 +69,7 @@
 func (m *Machine) proposeTakeovers(c *atlas.Change) {
 	for host, s := range m.suspects {
 		member, ok := m.table.Member(host)
-		if !ok || member.Inc != s.owner || !m.isMember() {
+		if !ok || member.Inc != s.owner || !m.IsMember() {
 			continue
 		}
 		votes := 0
--- a/peers/web.go
+++ b/peers/web.go
@@ -26,11 +26,12 @@
 	// webDialTime bounds the opening of a connection; daemons are milliseconds
 	// apart.
 	webDialTime = 400 * time.Millisecond
-	// webPing is how long a connection may be quiet before it is probed, and
-	// webPong how long the answer to a probe may take: together they bound how
-	// long a connection that has gone silent is used.
-	webPing = 600 * time.Millisecond
-	webPong = 700 * time.Millisecond
+	// webProbe is how long a connection may be quiet before the kernel probes it,
+	// and the time between two probes; webProbes is how many may stay without
+	// answer. They bound how long a connection that has gone silent is used, at no
+	// cost to the process.
+	webProbe  = time.Second
+	webProbes = 1
 	// webUnacked is how long sent bytes may stay unacknowledged before the
 	// connection is given up.
 	webUnacked = 1200 * time.Millisecond
@@ -131,16 +132,16 @@
 }
 
 func newWebClient(config *tls.Config) *http.Transport {
-	dialer := &net.Dialer{Timeout: webDialTime, KeepAlive: -1, Control: limitUnacked}
+	dialer := &net.Dialer{
+		Timeout: webDialTime, Control: limitUnacked,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: webProbe, Interval: webProbe, Count: webProbes},
+	}
 	return &http.Transport{
 		DialContext:        dialer.DialContext,
 		TLSClientConfig:    config,
 		DisableCompression: true,
 		IdleConnTimeout:    webIdle,
 		Protocols:          protocols(config != nil),
-		HTTP2: &http.HTTP2Config{
-			SendPingTimeout: webPing, PingTimeout: webPong, WriteByteTimeout: webUnacked,
-		},
 	}
 }
 
--- a/steer/router.go
+++ b/steer/router.go
@@ -299,7 +299,7 @@
 	if ctx.Err() != nil || j.call.Deadline.Sub(now) < leastLeft {
 		return false
 	}
-	again := false
+	var again bool
 	switch {
 	case e.Outcome() == calls.Unknown:
 		j.seen++
--- a/upconn/conn.go
+++ b/upconn/conn.go
@@ -18,6 +18,9 @@
 	// unacked is how long sent bytes may stay unacknowledged: the upstream is on
 	// the same host.
 	unacked = 500 * time.Millisecond
+	// probeTime is how long a connection may be quiet before the kernel probes it,
+	// and how long it waits for the answer.
+	probeTime = time.Second
 	// dialTime bounds the opening of a connection.
 	dialTime = 400 * time.Millisecond
 )
--- a/upconn/pool.go
+++ b/upconn/pool.go
@@ -66,8 +66,11 @@
 	p := &Pool{
 		addr: addr, dialect: dialect,
 		clock: clockwork.NewRealClock(), log: logr.Discard(),
-		dialer: &net.Dialer{Timeout: dialTime, KeepAlive: -1, Control: limitUnacked},
-		down:   func(bool) {}, counts: newCounters(tally.NoopScope),
+		dialer: &net.Dialer{
+			Timeout: dialTime, Control: limitUnacked,
+			KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeTime, Interval: probeTime, Count: 1},
+		},
+		down: func(bool) {}, counts: newCounters(tally.NoopScope),
 	}
 	for _, opt := range opts {
 		opt(p)
