End a drain that has nothing to wait for; keep ranges whole when members leave

Ruled out: load (the drained daemons were idle for more than a second), calls that never end (the last one ended 1.6 s before the kill). Keys without owner go to as few members as have room for them twice over, drawn at random by their room, so that members that leave together burden different ones. One log line a change instead of one a range.

--- a/listen/server.go
+++ b/listen/server.go
@@ -161,7 +161,7 @@
 // when no request is under way. It returns an error when ctx ends first.
 func (s *Server) Drain(ctx context.Context) error {
 	s.Part()
-	defer s.stop()
+	s.stop()
 	if err := s.emptyQueue(ctx); err != nil {
 		return err
 	}
--- a/owner/heartbeat.go
+++ b/owner/heartbeat.go
@@ -168,7 +168,7 @@
 		return
 	}
 	m.note("grant changed", "id", m.upstream.id, "version", m.table.Version(), "rows", len(g.Rows),
-		"more", clipSpans(more), "less", clipSpans(less), "hold", g.Hold.String(),
+		"more", few(more), "less", few(less), "hold", g.Hold.String(),
 		"lease_left", m.until().Sub(now).Round(time.Millisecond).String(), "beat_age", now.Sub(m.upstream.beat).Round(time.Millisecond).String())
 }
 
@@ -180,12 +180,12 @@
 	return spans
 }
 
-// clipSpans returns the first few ranges for the log.
-func clipSpans(spans []atlas.Span) string {
+// few returns the first items for the log, and how many more there are.
+func few[T any](items []T) string {
 	const shown = 4
-	text := fmt.Sprint(spans[:min(len(spans), shown)])
-	if len(spans) > shown {
-		text += fmt.Sprintf("+%d", len(spans)-shown)
+	text := fmt.Sprint(items[:min(len(items), shown)])
+	if len(items) > shown {
+		text += fmt.Sprintf("+%d", len(items)-shown)
 	}
 	return text
 }
--- a/owner/propose.go
+++ b/owner/propose.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -165,6 +166,7 @@
 
 // proposeReleases hands over what the upstream has let go of.
 func (m *Machine) proposeReleases(c *atlas.Change) {
+	var given []string
 	for _, r := range m.releases {
 		if !r.done {
 			continue
@@ -186,7 +188,10 @@
 		for _, span := range rest {
 			c.Assign(span, to, "")
 		}
-		m.note("handing over", "span", r.span.String(), "to", string(to), "tokens", len(r.tokens))
+		given = append(given, r.span.String()+"="+string(to))
+	}
+	if len(given) > 0 {
+		m.note("handing over", "ranges", few(given), "count", len(given))
 	}
 }
 
@@ -196,9 +201,13 @@
 		return
 	}
 	rows := m.table.RowsOf(m.host)
+	var given []string
 	for _, p := range m.divide(atlas.Spans(rows), true) {
 		c.Assign(p.Span, p.To, "")
-		m.note("giving away the ranges of a lost upstream", "span", p.Span.String(), "to", string(p.To))
+		given = append(given, p.Span.String()+"="+string(p.To))
+	}
+	if len(given) > 0 {
+		m.note("giving away the ranges of a lost upstream", "ranges", few(given), "count", len(given))
 	}
 }
 
@@ -257,11 +266,15 @@
 		return
 	}
 	spans := m.table.Unowned()
+	var given []string
 	for _, p := range m.divide(spans, false) {
 		if c.Assign(p.Span, p.To, "") {
-			m.note("assigning keys without owner", "span", p.Span.String(), "to", string(p.To))
+			given = append(given, p.Span.String()+"="+string(p.To))
 		}
 	}
+	if len(given) > 0 {
+		m.note("assigning keys without owner", "ranges", few(given), "count", len(given))
+	}
 }
 
 // isJoining reports whether a live daemon with an upstream of the service is no
@@ -333,10 +346,41 @@
 		return nil
 	}
 	heat := m.heat
+	load := rateOf(heat, spans)
 	if heat.Total() <= 0 || !others {
 		heat = m.fleet
+		load = m.estimate(spans)
+	}
+	return plan.Divide(spans, heat, plan.Choose(shares, load, m.rng))
+}
+
+func rateOf(heat *plan.Heat, spans []atlas.Span) float64 {
+	rate := 0.0
+	for _, s := range spans {
+		rate += heat.Rate(s)
+	}
+	return rate
+}
+
+// estimate returns the rate of calls for keys of others: their part in the calls
+// that this daemon's callers make, applied to what the members are offered. It is
+// infinite when nothing is known.
+func (m *Machine) estimate(spans []atlas.Span) float64 {
+	total := m.fleet.Total()
+	if total <= 0 {
+		return math.Inf(1)
+	}
+	part := rateOf(m.fleet, spans) / total
+	offered := 0.0
+	for _, e := range m.live {
+		if e.Service == m.service {
+			offered += float64(e.Load.Offered)
+		}
+	}
+	if part >= 1 || offered <= 0 {
+		return math.Inf(1)
 	}
-	return plan.Divide(spans, heat, shares)
+	return offered * part / (1 - part)
 }
 
 // leastShare is the part of its capacity that a busy member counts for, so that
--- a/plan/divide.go
+++ b/plan/divide.go
@@ -1,6 +1,10 @@
 package plan
 
 import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+
 	"github.com/monsoonmoor/monsoonmoor/atlas"
 	"github.com/monsoonmoor/monsoonmoor/ident"
 )
@@ -77,3 +81,41 @@
 	}
 	return out
 }
+
+const (
+	// fillPart is the part of a taker's weight that keys which lose their owner
+	// may fill: others may lose theirs at the same time.
+	fillPart = 0.5
+	// leastTakers is the least number of takers, so that an error in the load
+	// doesn't burden a single one.
+	leastTakers = 2
+)
+
+// Choose picks the members that take keys with the given load, in calls per
+// second; weights are their free rates. Few takers keep ranges whole: each cut
+// makes the ownership table longer for good. The choice is random, by weight, so
+// that several owners that leave together burden different members.
+func Choose(shares []Share, load float64, rng *rand.Rand) []Share {
+	type drawn struct {
+		index int
+		rank  float64
+	}
+	var draws []drawn
+	for i, s := range shares {
+		if s.Weight > 0 {
+			draws = append(draws, drawn{i, rng.ExpFloat64() / s.Weight})
+		}
+	}
+	slices.SortFunc(draws, func(a, b drawn) int { return cmp.Compare(a.rank, b.rank) })
+	filled, n := 0.0, 0
+	for n < len(draws) && (n < leastTakers || filled < load) {
+		filled += fillPart * shares[draws[n].index].Weight
+		n++
+	}
+	slices.SortFunc(draws[:n], func(a, b drawn) int { return cmp.Compare(a.index, b.index) })
+	chosen := make([]Share, 0, n)
+	for _, d := range draws[:n] {
+		chosen = append(chosen, shares[d.index])
+	}
+	return chosen
+}
--- a/plan/plan_test.go
+++ b/plan/plan_test.go
@@ -99,6 +99,60 @@
 	}
 }
 
+func TestChooseTakesFewMembers(t *testing.T) {
+	c := qt.New(t)
+	rng := rand.New(rand.NewPCG(3, 4))
+	var shares []plan.Share
+	for i := range 36 {
+		shares = append(shares, plan.Share{Host: ident.Host(fmt.Sprint(i)), Weight: 10})
+	}
+	shares = append(shares, plan.Share{Host: "full"})
+	taken := make(map[ident.Host]int)
+	for range 200 {
+		chosen := plan.Choose(shares, 24, rng)
+		// Five takers with half of ten calls per second each have room for 24.
+		c.Assert(chosen, qt.HasLen, 5)
+		for _, s := range chosen {
+			taken[s.Host]++
+		}
+	}
+	c.Assert(taken, qt.HasLen, 36)
+	c.Assert(plan.Choose(shares, 0, rng), qt.HasLen, 2)
+	c.Assert(plan.Choose(shares, math.Inf(1), rng), qt.HasLen, 36)
+	c.Assert(plan.Choose(nil, 5, rng), qt.HasLen, 0)
+}
+
+// A fleet that is restarted one host after the other must not cut its ranges ever
+// finer: each departure used to cut a piece for every other member.
+func TestDeparturesKeepRangesWhole(t *testing.T) {
+	c := qt.New(t)
+	rng := rand.New(rand.NewPCG(5, 6))
+	heat := plan.NewHeat()
+	const hosts = 37
+	owned := make(map[ident.Host][]atlas.Span)
+	for i := range uint32(hosts) {
+		owned[ident.Host(fmt.Sprint(i))] = []atlas.Span{atlas.NewSpan(i*1700, i*1700+1699)}
+	}
+	for round := range 60 {
+		leaver := ident.Host(fmt.Sprint(round % hosts))
+		var shares []plan.Share
+		for i := range hosts {
+			if h := ident.Host(fmt.Sprint(i)); h != leaver {
+				shares = append(shares, plan.Share{Host: h, Weight: 15})
+			}
+		}
+		for _, p := range plan.Divide(owned[leaver], heat, plan.Choose(shares, 30, rng)) {
+			owned[p.To] = atlas.Join(append(owned[p.To], p.Span))
+		}
+		owned[leaver] = nil
+	}
+	rows := 0
+	for _, spans := range owned {
+		rows += len(spans)
+	}
+	c.Check(rows < 60*5, qt.IsTrue, qt.Commentf("%d ranges", rows))
+}
+
 func TestNothingMovesWithoutNeed(t *testing.T) {
 	c := qt.New(t)
 	h := heated(map[atlas.Point]int{1: 100, 40000: 100}, 5*time.Second)
