Never call a request not run after an attempt that may have run it; read changed settings

Cause: a call whose first attempt ended without an answer, whose second was turned away by a daemon that no longer owned the key and whose third found no room was reported by the third attempt's proof alone. The journey kept only the last failure. Ruled out: the upstream connection (its stale and cut answers are unknown). Change: the first attempt that may have run the call decides what a later refusal can say. The fleet's slack of repeated sendings is shared by the most daemons that were ever known, not by sixteen: 66 daemons could together have used four times the slack. The settings file is read again after SIGHUP and when it changes without a signal; seeds, retry budget and grace are taken over, and what needs a restart is named. Tests: TestRefusalAfterAMoveIsNoProof and TestBudget fail on the old code.

--- a/cmds/fleet.go
+++ b/cmds/fleet.go
@@ -7,6 +7,9 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
+
+	"github.com/go-logr/logr"
 
 	"github.com/monsoonmoor/monsoonmoor/klog"
 	"github.com/monsoonmoor/monsoonmoor/platform"
@@ -15,7 +18,7 @@
 
 // fleetCmd runs the daemon beside an upstream on the users' platform.
 type fleetCmd struct {
-	Settings string `help:"The platform's settings file." env:"MONSOONMOOR_NODE_FILE" required:"" placeholder:"FILE"`
+	Settings string `help:"The platform's settings file; otherwise the one that the platform's variable names." placeholder:"FILE"`
 	Verbose  int    `help:"Log level; 0 logs decisions, 1 every attempt." default:"0"`
 }
 
@@ -28,10 +31,18 @@
 	gcPercent = 60
 )
 
+// lookTime is the time between two looks at whether the settings file has changed:
+// it may change without a signal.
+const lookTime = time.Second
+
 // Run implements the command. SIGTERM and SIGINT end the daemon without cutting
 // requests.
 func (c *fleetCmd) Run(env *Env) error {
-	settings, err := platform.Load(c.Settings)
+	path, err := platform.Path(c.Settings)
+	if err != nil {
+		return fmt.Errorf("%w: %w", errUsage, err)
+	}
+	settings, err := platform.Load(path)
 	if err != nil {
 		return fmt.Errorf("%w: %w", errUsage, err)
 	}
@@ -50,14 +61,35 @@
 	if err != nil {
 		return errors.Join(fmt.Errorf("start daemon: %w", err), lines.Close())
 	}
-	log.Info("started", "host", settings.Host(), "settings", c.Settings)
+	log.Info("started", "host", settings.Host(), "settings", path)
+	watched := newWatch(path)
+	look := clock.NewTicker(lookTime)
+	defer look.Stop()
 	for {
 		select {
 		case <-reload:
-			log.Info("settings file changed", "settings", c.Settings)
+			log.Info("signal", "signal", "SIGHUP")
+			watched.forget()
+			c.reload(watched, daemon, log)
+		case <-look.Chan():
+			c.reload(watched, daemon, log)
 		case s := <-ended:
 			log.Info("signal", "signal", s.String())
 			return errors.Join(daemon.Stop(), lines.Close())
 		}
 	}
 }
+
+// reload reads the settings file again if it has changed. A file that can't be
+// used changes nothing.
+func (c *fleetCmd) reload(watched *watch, daemon *platform.Daemon, log logr.Logger) {
+	if !watched.changed() {
+		return
+	}
+	settings, err := platform.Load(watched.path)
+	if err != nil {
+		log.Info("settings not read", "settings", watched.path, "err", err.Error())
+		return
+	}
+	daemon.Apply(settings)
+}
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -63,6 +63,8 @@
 	desk     desk
 	changed  chan struct{}
 	stopping bool
+	// applied are the newest settings; settings stay those of the start.
+	applied Settings
 
 	followers []*store.Follower
 	fetching  sync.Map
@@ -88,7 +90,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &Node{
-		settings: settings, ports: ports,
+		settings: settings, applied: settings, ports: ports,
 		clock: clockwork.NewRealClock(), log: logr.Discard(), scope: tally.NoopScope,
 		plans: vhost.NewHolder(), heat: plan.NewHeat(), fleet: plan.NewHeat(), given: newAllowances(),
 		tables: make(map[ident.Service]*table), changed: make(chan struct{}),
@@ -115,24 +117,21 @@
 	n.state = gossip.NewState(gossip.Entry{
 		Inc: n.self, Addr: s.Peers, Zone: s.Zone, Service: s.Service,
 	}, gossip.DefaultTimings(), n.self.Boot)
-	for i, addr := range s.Seeds {
-		n.state.Seed(now, ident.NewIncarnation(ident.Host(fmt.Sprintf("seed-%d", i)), 0), addr)
-	}
+	n.seed(now, s.Seeds)
 	n.witness = lease.NewWitness(n.self, s.terms(), now)
 	n.gate = sched.NewGate(n.clock)
 	n.pool = upconn.New(s.Upstream, n.ports.Dialect, upconn.WithClock(n.clock), upconn.WithLogger(n.log),
 		upconn.WithScope(n.scope), upconn.WithDown(n.upstreamDown))
-	n.budget = steer.NewBudget(s.RetryRatio, n.retrySlack(), s.RetryWindow)
+	n.budget = steer.NewBudget(s.RetryRatio, s.RetrySlack, s.RetryWindow)
 	n.desk = newDesk(s.answerHold())
 }
 
-// retrySlack is the part of the fleet's slack that this daemon may use, for a
-// fleet of the size that is usual at the start.
-func (n *Node) retrySlack() float64 { return n.settings.RetrySlack / assumedFleet }
-
-// assumedFleet is the number of daemons among which the fleet's slack of repeated
-// sendings is divided.
-const assumedFleet = 16
+// seed adds addresses where other daemons may be.
+func (n *Node) seed(now time.Time, addrs []string) {
+	for _, addr := range addrs {
+		n.state.Seed(now, ident.NewIncarnation(ident.Host("seed-"+addr), 0), addr)
+	}
+}
 
 // open opens the sockets.
 func (n *Node) open() error {
--- a/steer/budget.go
+++ b/steer/budget.go
@@ -10,13 +10,15 @@
 // Budget bounds the calls that reach upstreams of a service beyond the first
 // sending of each. It is safe for concurrent use.
 type Budget struct {
-	// ratio is the part of the calls sent that may be sent again, slack a number
-	// that may be besides, both within the window.
-	ratio  float64
-	slack  float64
 	window time.Duration
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// ratio is the part of the calls sent that may be sent again, slack a number
+	// that may be besides, both within the window. The slack is the fleet's; each
+	// of its parts may use as much.
+	ratio    float64
+	slack    float64
+	parts    int
 	services map[ident.Service]*ledger
 }
 
@@ -34,9 +36,29 @@
 	again [buckets]int
 }
 
-// NewBudget returns a budget.
+// leastParts is the number of daemons among which the slack is divided at least:
+// a daemon that starts, or is cut off, knows of few others.
+const leastParts = 16
+
+// NewBudget returns a daemon's part of the budget of a fleet.
 func NewBudget(ratio, slack float64, window time.Duration) *Budget {
-	return &Budget{ratio: ratio, slack: slack, window: window, services: make(map[ident.Service]*ledger)}
+	return &Budget{
+		ratio: ratio, slack: slack, window: window, parts: leastParts, services: make(map[ident.Service]*ledger),
+	}
+}
+
+// Join tells how many daemons are known. The budget goes by the most it was told.
+func (b *Budget) Join(daemons int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.parts = max(b.parts, daemons)
+}
+
+// Set replaces the fleet's ratio and slack.
+func (b *Budget) Set(ratio, slack float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ratio, b.slack = ratio, slack
 }
 
 // Sent counts the first sending of a call.
@@ -57,7 +79,7 @@
 		sent += l.sent[i]
 		again += l.again[i]
 	}
-	if float64(again+1) > caution*(b.ratio*float64(sent)+b.slack) {
+	if float64(again+1) > caution*(b.ratio*float64(sent)+b.slack/float64(b.parts)) {
 		return false
 	}
 	l.again[l.at%buckets]++
--- a/steer/router.go
+++ b/steer/router.go
@@ -129,6 +129,8 @@
 	// seen is the number of upstreams that may have seen the call.
 	seen int
 	last *calls.Error
+	// unsure is the first attempt that may have run the call.
+	unsure *calls.Error
 	// answer is an upstream's failure that was worth another try. It is returned
 	// if nothing better comes.
 	answer *calls.Reply
@@ -194,8 +196,8 @@
 	switch {
 	case j.answer != nil:
 		return j.answer, nil
-	case j.last != nil && j.last.Outcome() == calls.Unknown && err.Outcome() == calls.NotRun:
-		return nil, j.last
+	case j.unsure != nil && err.Outcome() == calls.NotRun:
+		return nil, j.unsure
 	}
 	return nil, err
 }
@@ -315,6 +317,9 @@
 	}
 	r.log.V(1).Info("attempt failed", "request", j.call.ID, "at", string(target.Host), "local", target.Local,
 		"outcome", e.Outcome().String(), "reason", string(e.Reason()), "again", again)
+	if j.unsure == nil && e.Outcome() == calls.Unknown {
+		j.unsure = e
+	}
 	if again {
 		j.last = e
 		j.mark(target, e)
--- /dev/null
+++ b/steer/steer_test.go
@@ -0,0 +1,228 @@
+package steer_test
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/monsoonmoor/monsoonmoor/calls"
+	"github.com/monsoonmoor/monsoonmoor/ident"
+	"github.com/monsoonmoor/monsoonmoor/owner"
+	"github.com/monsoonmoor/monsoonmoor/steer"
+)
+
+var start = time.Date(2026, 1, 3, 15, 0, 0, 0, time.UTC)
+
+// script is a fleet whose daemons answer what the test says, one answer a call.
+type script struct {
+	owner   ident.Host
+	place   owner.Place
+	targets []steer.Target
+	answers map[string][]error
+	// to holds the addresses that calls were sent to; local ones are "".
+	to []string
+	// next is the owner after the first attempt, if it changes.
+	next ident.Host
+	// status is the status of the answers without error.
+	status []int
+}
+
+func (s *script) Where(ident.Service, uint32) (owner.Place, ident.Host) { return s.place, s.owner }
+
+func (s *script) Target(host ident.Host) (steer.Target, bool) {
+	for _, t := range s.targets {
+		if t.Host == host {
+			return t, true
+		}
+	}
+	return steer.Target{}, false
+}
+
+func (s *script) Targets(ident.Service) []steer.Target { return s.targets }
+
+func (s *script) Changed() <-chan struct{} { return nil }
+
+func (s *script) Run(ctx context.Context, call *calls.Call) (*calls.Reply, error) {
+	return s.Forward(ctx, "", call)
+}
+
+func (s *script) Forward(_ context.Context, addr string, _ *calls.Call) (*calls.Reply, error) {
+	s.to = append(s.to, addr)
+	if s.next != "" {
+		s.owner, s.next = s.next, ""
+	}
+	if list := s.answers[addr]; len(list) > 0 {
+		s.answers[addr] = list[1:]
+		if list[0] != nil {
+			return nil, list[0]
+		}
+	}
+	status := http.StatusOK
+	if len(s.status) > 0 {
+		status, s.status = s.status[0], s.status[1:]
+	}
+	return &calls.Reply{Status: status, Body: calls.NewBuffered(nil)}, nil
+}
+
+func remote(hosts ...string) []steer.Target {
+	var out []steer.Target
+	for _, h := range hosts {
+		out = append(out, steer.Target{Host: ident.Host(h), Addr: h, Capacity: 10, Slots: 4})
+	}
+	return out
+}
+
+func newCall(terms calls.Terms, ordered bool) *calls.Call {
+	return &calls.Call{
+		ID: "c1", Service: "events", Ordered: ordered, Point: 7, Terms: terms,
+		Deadline: time.Now().Add(time.Minute), Body: calls.NewBuffered(nil),
+	}
+}
+
+func TestOutcomes(t *testing.T) {
+	repeatable := calls.Terms{Repeatable: true, Attempts: 2, Target: time.Second}
+	once := calls.Terms{Attempts: 2, Target: time.Second}
+	lost := calls.NewUnknown(calls.ReasonUpstreamLost)
+	moved := calls.NewNotRun(calls.ReasonNotOwner)
+	full := calls.NewNotRun(calls.ReasonOverload)
+	for _, test := range []struct {
+		name    string
+		terms   calls.Terms
+		ordered bool
+		answers map[string][]error
+		next    ident.Host
+		sent    int
+		outcome calls.Outcome
+		reason  calls.Reason
+	}{
+		{name: "answered", terms: once, ordered: true, sent: 1, outcome: calls.Answered},
+		{
+			name: "a call that may run once is not sent again", terms: once, ordered: true,
+			answers: map[string][]error{"a": {lost}}, sent: 1, outcome: calls.Unknown, reason: calls.ReasonUpstreamLost,
+		},
+		{
+			name: "a repeatable call is", terms: repeatable, ordered: true,
+			answers: map[string][]error{"a": {lost, nil}}, sent: 2, outcome: calls.Answered,
+		},
+		{
+			name: "a refusal after an attempt that may have run is no proof", terms: repeatable, ordered: true,
+			answers: map[string][]error{"a": {lost, full}}, sent: 2, outcome: calls.Unknown, reason: calls.ReasonUpstreamLost,
+		},
+		{
+			name: "nor are two refusals after it", terms: repeatable, ordered: false,
+			answers: map[string][]error{"a": {lost, moved, full}, "b": {lost, moved, full}, "c": {lost, moved, full}},
+			sent:    2, outcome: calls.Unknown, reason: calls.ReasonUpstreamLost,
+		},
+		{
+			name: "the new owner gets a call that the old one turned away", terms: once, ordered: true,
+			answers: map[string][]error{"a": {moved}}, next: "b", sent: 2, outcome: calls.Answered,
+		},
+		{
+			name: "an owner without room is not asked twice", terms: once, ordered: true,
+			answers: map[string][]error{"a": {full}}, sent: 1, outcome: calls.NotRun, reason: calls.ReasonOverload,
+		},
+		{
+			name: "calls without key try one other daemon for room", terms: once,
+			answers: map[string][]error{"a": {full, full}, "b": {full, full}, "c": {full, full}},
+			sent:    2, outcome: calls.NotRun, reason: calls.ReasonOverload,
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			s := &script{
+				owner: "a", place: owner.Elsewhere, targets: remote("a", "b", "c"), answers: test.answers, next: test.next,
+			}
+			r := steer.New(s, s, s, steer.WithClock(clockwork.NewRealClock()), steer.WithSeed(1),
+				steer.WithBudget(steer.NewBudget(1, 160, 10*time.Second)))
+			reply, err := r.Run(context.Background(), newCall(test.terms, test.ordered))
+			c.Check(s.to, qt.HasLen, test.sent)
+			if test.outcome == calls.Answered {
+				c.Assert(err, qt.IsNil)
+				c.Assert(reply.Status, qt.Equals, http.StatusOK)
+				return
+			}
+			e := calls.AsError(err)
+			c.Check(e.Outcome(), qt.Equals, test.outcome)
+			c.Check(e.Reason(), qt.Equals, test.reason)
+		})
+	}
+}
+
+// The first attempt may have run the call; then the owner moves away and the
+// next one is full. What the last one says holds for itself alone.
+func TestRefusalAfterAMoveIsNoProof(t *testing.T) {
+	c := qt.New(t)
+	s := &script{
+		owner: "a", place: owner.Elsewhere, targets: remote("a", "b"),
+		answers: map[string][]error{
+			"a": {calls.NewUnknown(calls.ReasonUpstreamLost), calls.NewNotRun(calls.ReasonNotOwner)},
+			"b": {calls.NewNotRun(calls.ReasonOverload)},
+		},
+	}
+	clock := clockwork.NewRealClock()
+	r := steer.New(s, s, follow{s}, steer.WithClock(clock), steer.WithSeed(1),
+		steer.WithBudget(steer.NewBudget(1, 160, 10*time.Second)))
+	_, err := r.Run(context.Background(), newCall(calls.Terms{Repeatable: true, Attempts: 3, Target: time.Second}, true))
+	c.Check(s.to, qt.DeepEquals, []string{"a", "a", "b"})
+	c.Assert(calls.AsError(err).Outcome(), qt.Equals, calls.Unknown)
+}
+
+// follow makes b the owner once a has turned a call away.
+type follow struct{ *script }
+
+func (f follow) Forward(ctx context.Context, addr string, call *calls.Call) (*calls.Reply, error) {
+	reply, err := f.script.Forward(ctx, addr, call)
+	if err != nil && calls.AsError(err).Reason() == calls.ReasonNotOwner {
+		f.owner = "b"
+	}
+	return reply, err
+}
+
+func TestFailuresOfUpstreams(t *testing.T) {
+	c := qt.New(t)
+	s := &script{targets: remote("a", "b"), status: []int{http.StatusInternalServerError, http.StatusOK}}
+	r := steer.New(s, s, s, steer.WithClock(clockwork.NewRealClock()), steer.WithSeed(1),
+		steer.WithBudget(steer.NewBudget(1, 160, 10*time.Second)))
+	reply, err := r.Run(context.Background(), newCall(calls.Terms{Repeatable: true, Attempts: 2}, false))
+	c.Assert(err, qt.IsNil)
+	c.Check(reply.Status, qt.Equals, http.StatusOK)
+	c.Check(s.to, qt.HasLen, 2)
+
+	// Without another try, the failure is the answer.
+	s.status = []int{http.StatusInternalServerError}
+	reply, err = r.Run(context.Background(), newCall(calls.Terms{Attempts: 2}, false))
+	c.Assert(err, qt.IsNil)
+	c.Check(reply.Status, qt.Equals, http.StatusInternalServerError)
+}
+
+func TestBudget(t *testing.T) {
+	c := qt.New(t)
+	const window = 10 * time.Second
+	spend := func(b *steer.Budget, at time.Time) int {
+		n := 0
+		for b.Spend(at, "events") {
+			n++
+		}
+		return n
+	}
+	b := steer.NewBudget(0.2, 160, window)
+	for range 100 {
+		b.Sent(start, "events")
+	}
+	// A fifth of a hundred, a sixteenth of 160, and of both 0.8.
+	c.Assert(spend(b, start), qt.Equals, 24)
+	c.Assert(spend(b, start.Add(window/2)), qt.Equals, 0)
+	c.Assert(spend(b, start.Add(2*window)), qt.Equals, 8)
+
+	// A larger fleet shares the same slack; a cut doesn't enlarge the part.
+	b = steer.NewBudget(0, 160, window)
+	b.Join(64)
+	b.Join(3)
+	c.Assert(spend(b, start), qt.Equals, 2)
+	b.Set(0, 1600)
+	c.Assert(spend(b, start), qt.Equals, 18)
+}
