Count answers by outcome and measure how long they and refusals take

The metrics address showed neither how callers were served nor a latency. Now counters by outcome, a histogram of answers and one of refusals, and the outcomes of writes of the ownership table. Tested where two daemons serve.

--- a/mesh/node.go
+++ b/mesh/node.go
@@ -40,6 +40,7 @@
 	clock    clockwork.Clock
 	log      logr.Logger
 	scope    tally.Scope
+	counts   counts
 	self     ident.Incarnation
 
 	plans  *vhost.Holder
@@ -100,6 +101,7 @@
 		opt(n)
 	}
 	n.waits = newWaits(n.clock)
+	n.counts = newCounts(n.scope)
 	now := n.clock.Now()
 	n.self = ident.NewIncarnation(settings.Host, uint64(now.UnixMilli()))
 	n.log = n.log.WithValues("host", string(settings.Host))
@@ -194,7 +196,9 @@
 	if t := call.Terms.Timeout; t > 0 && t < left {
 		call.Deadline = now.Add(t)
 	}
-	return n.router.Run(ctx, call)
+	reply, err := n.router.Run(ctx, call)
+	n.counts.count(n.clock.Now().Sub(now), reply, err)
+	return reply, err
 }
 
 // Plan returns the configuration in force.
--- a/mesh/tables.go
+++ b/mesh/tables.go
@@ -182,6 +182,7 @@
 	for n.ctx.Err() == nil {
 		began := n.clock.Now()
 		outcome := n.put(topic, proposal, data)
+		n.counts.writes[outcome].Inc(1)
 		n.log.Info("ownership table written", "service", string(proposal.Service()), "version", proposal.Version(),
 			"outcome", outcomeNames[outcome], "bytes", len(data), "took", n.clock.Now().Sub(began).String())
 		if outcome == owner.Unknown {
