Log which daemons a request was taken to, and what the queue was like that turned it away

The request's line lists the daemons in order; the daemon that turns a call away logs calls running and waiting, slots, expected wait and time left.

--- a/calls/call.go
+++ b/calls/call.go
@@ -53,6 +53,8 @@
 	Ordered bool
 	// Terms say how the route wants the call to be treated.
 	Terms Terms
+	// Trail are the daemons that this one has taken the call to, for the log.
+	Trail []ident.Host
 }
 
 // Keyed reports whether the call belongs to one owner.
--- a/mesh/local.go
+++ b/mesh/local.go
@@ -49,6 +49,7 @@
 		}
 		ticket, err := n.gate.Enter(ctx, demand(call, n.clock.Now()))
 		if err != nil {
+			l.logRefusal(call, err)
 			return nil, err
 		}
 		if !l.isHere(call, instance) {
@@ -62,6 +63,17 @@
 	}
 }
 
+// logRefusal says what the queue was like that turned a call away.
+func (l *local) logRefusal(call *calls.Call, err error) {
+	n := l.node
+	e := calls.AsError(err)
+	running, waiting, slots := n.gate.State()
+	n.log.Info("turned away", "request", call.ID, "reason", string(e.Reason()), "running", running, "waiting", waiting,
+		"slots", slots, "wait", n.gate.Wait().Round(time.Millisecond).String(),
+		"left", call.Deadline.Sub(n.clock.Now()).Round(time.Millisecond).String(),
+		"retry_after", e.RetryAfter().Round(time.Millisecond).String())
+}
+
 // demand says what a call asks of the upstream.
 func demand(call *calls.Call, now time.Time) sched.Demand {
 	target := now.Add(call.Terms.Target - call.Terms.Spent)
--- a/steer/router.go
+++ b/steer/router.go
@@ -172,6 +172,7 @@
 		if refusal != nil {
 			return j.end(refusal)
 		}
+		call.Trail = append(call.Trail, target.name())
 		reply, err := r.send(ctx, target, call)
 		if again := j.judge(ctx, target, reply, err); !again {
 			if err != nil {
@@ -184,6 +185,14 @@
 	return j.end(j.last)
 }
 
+// name returns the host's name, also for this daemon itself.
+func (t Target) name() ident.Host {
+	if t.Local {
+		return "local"
+	}
+	return t.Host
+}
+
 func rewind(call *calls.Call) {
 	if body, ok := call.Body.(*calls.Buffered); ok {
 		body.Rewind()
