--- a/mesh/tables.go
+++ b/mesh/tables.go
@@ -341,20 +341,24 @@
 // refresh fetches the tables of which a newer version was heard: at once where the
 // machine needs it for a proposal, the others after a while.
 func (n *Node) refresh(now time.Time, needed bool) {
+	type due struct {
+		from    string
+		version gossip.Version
+	}
 	n.mu.Lock()
-	var due []*table
+	var fetches []due
 	for _, t := range n.tables {
 		if t.heard <= t.current.Version() || t.from == "" {
 			continue
 		}
 		if (needed && t.service == n.settings.Service) || now.Sub(t.fetched) >= lazyFetch {
 			t.fetched = now
-			due = append(due, t)
+			fetches = append(fetches, due{t.from, gossip.Version{Name: topicOf(t.service), Number: t.heard}})
 		}
 	}
 	n.mu.Unlock()
-	for _, t := range due {
-		n.fetch(t.from, gossip.Version{Name: topicOf(t.service), Number: t.heard})
+	for _, d := range fetches {
+		n.fetch(d.from, d.version)
 	}
 }
 
