--- /dev/null
+++ b/store/follower_test.go
@@ -0,0 +1,109 @@
+package store_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/monsoonmoor/monsoonmoor/store"
+)
+
+// within bounds the waits of a test that would hang on a fault.
+const within = 20 * time.Second
+
+func put(c *qt.C, m *store.Mem, key, value string) {
+	_, err := m.Put(context.Background(), store.Write{Topic: "t", Key: key, Value: []byte(value), At: store.Anywhere})
+	c.Assert(err, qt.IsNil)
+}
+
+// next returns the next item that a follower delivers.
+func next(c *qt.C, items <-chan store.Item) string {
+	select {
+	case item := <-items:
+		return item.Key + "=" + string(item.Value)
+	case <-time.After(within):
+		c.Fatal("no item")
+		return ""
+	}
+}
+
+// state returns the next report on whether the store can be read.
+func state(c *qt.C, synced <-chan bool) bool {
+	select {
+	case up := <-synced:
+		return up
+	case <-time.After(within):
+		c.Fatal("no report")
+		return false
+	}
+}
+
+func follow(c *qt.C, m *store.Mem, opts ...store.FollowerOption) (*store.Follower, <-chan store.Item, <-chan bool) {
+	items, synced := make(chan store.Item, 100), make(chan bool, 100)
+	opts = append(opts, store.WithSynced(func(up bool) { synced <- up }))
+	f := store.Follow(m, "t", func(i store.Item) { items <- i }, opts...)
+	c.Cleanup(func() { _ = f.Close() })
+	return f, items, synced
+}
+
+func TestFollowerDeliversNewestAndChanges(t *testing.T) {
+	c := qt.New(t)
+	m := store.NewMem(clockwork.NewRealClock())
+	put(c, m, "a", "1")
+	put(c, m, "a", "2")
+	_, items, synced := follow(c, m, store.WithWait(time.Second, time.Millisecond))
+	c.Assert(next(c, items), qt.Equals, "a=2")
+	c.Assert(state(c, synced), qt.IsTrue)
+	put(c, m, "b", "3")
+	c.Assert(next(c, items), qt.Equals, "b=3")
+}
+
+func TestFollowerComesBack(t *testing.T) {
+	c := qt.New(t)
+	m := store.NewMem(clockwork.NewRealClock())
+	_, items, synced := follow(c, m, store.WithWait(20*time.Millisecond, time.Millisecond))
+	c.Assert(state(c, synced), qt.IsTrue)
+	m.SetFaults(store.MemFaults{Down: true})
+	c.Assert(state(c, synced), qt.IsFalse)
+	m.SetFaults(store.MemFaults{})
+	c.Assert(state(c, synced), qt.IsTrue)
+	put(c, m, "a", "1")
+	c.Assert(next(c, items), qt.Equals, "a=1")
+}
+
+// History that the store has dropped is made up for by the newest items.
+func TestFollowerSurvivesForgottenHistory(t *testing.T) {
+	c := qt.New(t)
+	m := store.NewMem(clockwork.NewRealClock())
+	_, items, synced := follow(c, m, store.WithWait(20*time.Millisecond, time.Millisecond))
+	c.Assert(state(c, synced), qt.IsTrue)
+	m.SetFaults(store.MemFaults{Down: true})
+	c.Assert(state(c, synced), qt.IsFalse)
+	m.SetFaults(store.MemFaults{})
+	put(c, m, "a", "1")
+	put(c, m, "a", "2")
+	m.Forget("t")
+	for got := ""; got != "a=2"; {
+		got = next(c, items)
+	}
+}
+
+// A topic that others tell of costs no calls once it was read.
+func TestFollowerRestsWhenNotWanted(t *testing.T) {
+	c := qt.New(t)
+	clock := clockwork.NewFakeClock()
+	m := store.NewMem(clock)
+	put(c, m, "a", "1")
+	_, items, synced := follow(c, m, store.WithClock(clock), store.WithWanted(func() bool { return false }))
+	c.Assert(next(c, items), qt.Equals, "a=1")
+	c.Assert(state(c, synced), qt.IsTrue)
+	before := m.Calls()
+	for range 20 {
+		c.Assert(clock.BlockUntilContext(context.Background(), 1), qt.IsNil)
+		clock.Advance(time.Second)
+	}
+	c.Assert(m.Calls(), qt.Equals, before)
+}
