--- a/upconn/upconn_test.go
+++ b/upconn/upconn_test.go
@@ -51,6 +51,13 @@
 	requests int
 }
 
+// opened returns how many connections were accepted.
+func (s *server) opened() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.conns
+}
+
 func serve(c *qt.C, script func(conn net.Conn, br *bufio.Reader, n int)) *server {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
@@ -128,11 +135,11 @@
 		c.Assert(err, qt.IsNil)
 		c.Assert(body, qt.Equals, "hello")
 	}
-	c.Assert(s.conns, qt.Equals, 1)
+	c.Assert(s.opened(), qt.Equals, 1)
 	p.Renew()
 	_, err := run(c, p, "6")
 	c.Assert(err, qt.IsNil)
-	c.Assert(s.conns, qt.Equals, 2)
+	c.Assert(s.opened(), qt.Equals, 2)
 }
 
 // TestFaultyAnswers plays what a faulty upstream does on a connection; the second
@@ -240,7 +247,7 @@
 	c.Assert(string(data), qt.Equals, "early")
 	_, err = run(c, p, "2")
 	c.Assert(err, qt.IsNil)
-	c.Assert(s.conns, qt.Equals, 2, qt.Commentf("a connection with half a request is not used again"))
+	c.Assert(s.opened(), qt.Equals, 2, qt.Commentf("a connection with half a request is not used again"))
 }
 
 func TestCallerGone(t *testing.T) {
@@ -296,5 +303,5 @@
 	time.Sleep(400 * time.Millisecond)
 	_, err = p.Run(context.Background(), call("2", false), "life")
 	c.Assert(err, qt.IsNil)
-	c.Assert(s.conns, qt.Equals, 2)
+	c.Assert(s.opened(), qt.Equals, 2)
 }
