Keep connections in use while the test of many peers opens them

Cause: the hub's connections fall idle after 1 s. Beside busy processes and with the race detector, opening a hundred takes longer, so the first ones were closed before the last was open, and 100 at once were never seen. Shown: with 14 busy loops on six cores the old test fails (20.4 s, never all connected), the new one passes twice. Change: the hub sends to all again within a quarter of the idle time until all are connected; nothing else of the test changes, and it still asks for all 100 at once, for their goroutines, and for their end.

--- a/peers/fault_test.go
+++ b/peers/fault_test.go
@@ -350,6 +350,7 @@
 // within a few for each, and all end when the connections fall idle.
 func TestManyPeers(t *testing.T) {
 	const members, perConn = 100, 16
+	const idle = time.Second
 	f := newFleet(t)
 	c := f.c
 	var spokes []table.Member
@@ -357,12 +358,24 @@
 		_, m := f.join(ident.Host(fmt.Sprintf("s%d", i)), newHandler())
 		spokes = append(spokes, m)
 	}
-	hub, mh := f.join("hub", newHandler(), peers.WithIdle(time.Second))
+	hub, mh := f.join("hub", newHandler(), peers.WithIdle(idle))
 	before := runtime.NumGoroutine()
-	for _, m := range spokes {
-		hub.Send(m, wire.Message{From: mh.Inc, Renew: &wire.Renew{Round: 1}})
+	greet := func() {
+		for _, m := range spokes {
+			hub.Send(m, wire.Message{From: mh.Inc, Renew: &wire.Renew{Round: 1}})
+		}
 	}
-	eventually(c, "all connected", func() bool { return hub.Stats().Conns == members })
+	greet()
+	greeted := time.Now()
+	eventually(c, "all connected", func() bool {
+		// A slow host takes longer than the idle time to open the last connection:
+		// the first ones must not fall idle before.
+		if time.Since(greeted) > idle/4 {
+			greet()
+			greeted = time.Now()
+		}
+		return hub.Stats().Conns == members
+	})
 	c.Assert(runtime.NumGoroutine()-before < members*perConn, qt.IsTrue, qt.Commentf("%d", runtime.NumGoroutine()-before))
 	t.Logf("%d goroutines for %d connections, both ends", runtime.NumGoroutine()-before, members)
 	eventually(c, "all idle", func() bool { return hub.Stats().Conns == 0 })
