Empty the accept queue before the standalone daemon closes a listener

Cause: closing a listener resets the connections that wait to be accepted; one attempt of 2,400 was cut at a drain, in 1 of 4 runs of TestRollingRestart. The fleet's listener had the mend, the standalone one had not. Change: listen.Queue is the part of listen.Server that empties the queue; the standalone listeners use it too.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -280,7 +280,7 @@
 		caller.WithClock(d.o.clock), caller.WithHost(d.settings.Host), caller.WithLogger(d.log),
 		caller.WithScope(d.registry.Scope()), caller.WithMaxBody(int64(d.settings.Limits.Body)))
 	operators := admin.New(source{d}, source{d}, admin.WithToken(d.token))
-	return d.listeners.open(&d.tasks, d.log,
+	return d.listeners.open(&d.tasks, d.o.clock, d.log,
 		listener{name: "caller", addr: d.settings.Listen.Caller, server: caller.NewServer("", d.parting(callers), limits)},
 		listener{name: "admin", addr: d.settings.Listen.Admin, server: caller.NewServer("", operators, caller.DefaultLimits())},
 		listener{name: "upstream", addr: d.settings.Listen.Upstream, server: caller.NewServer("", d.desk, caller.DefaultLimits())},
--- a/daemon/listeners.go
+++ b/daemon/listeners.go
@@ -9,6 +9,9 @@
 	"sync"
 
 	"github.com/go-logr/logr"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/monsoonmoor/monsoonmoor/listen"
 )
 
 // listener is one HTTP server with the address that it takes.
@@ -16,7 +19,7 @@
 	name   string
 	addr   string
 	server *http.Server
-	bound  net.Listener
+	bound  *listen.Queue
 }
 
 // listeners are the daemon's HTTP servers.
@@ -25,14 +28,14 @@
 }
 
 // open binds all addresses before any server starts.
-func (s *listeners) open(tasks *sync.WaitGroup, log logr.Logger, all ...listener) error {
+func (s *listeners) open(tasks *sync.WaitGroup, clock clockwork.Clock, log logr.Logger, all ...listener) error {
 	for i := range all {
 		l := &all[i]
 		bound, err := net.Listen("tcp", l.addr)
 		if err != nil {
 			return fmt.Errorf("listen for %s: %w", l.name, err)
 		}
-		l.bound = bound
+		l.bound = listen.NewQueue(bound, clock)
 		s.all = append(s.all, l)
 	}
 	for _, l := range s.all {
@@ -57,9 +60,13 @@
 	return nil
 }
 
-// shutdown stops new connections and waits for the requests in flight.
+// shutdown serves the connections that wait to be accepted, stops new ones and
+// waits for the requests in flight.
 func (s *listeners) shutdown(ctx context.Context) error {
 	for _, l := range s.all {
+		if err := l.bound.Empty(ctx); err != nil {
+			return fmt.Errorf("shut the %s listener down: %w", l.name, err)
+		}
 		if err := l.server.Shutdown(ctx); err != nil {
 			return fmt.Errorf("shut the %s listener down: %w", l.name, err)
 		}
--- a/listen/server.go
+++ b/listen/server.go
@@ -21,15 +21,12 @@
 	maxHeader = 64 << 10
 	// sweepTime is the time between two looks for idle connections to close.
 	sweepTime = time.Second
-	// quietTime is how long no connection may arrive before the accept queue
-	// counts as empty.
-	quietTime = 20 * time.Millisecond
 )
 
 // Server serves HTTP on one address.
 type Server struct {
 	server   *http.Server
-	listener *counting
+	listener *Queue
 	clock    clockwork.Clock
 	log      logr.Logger
 	idle     func() time.Duration
@@ -67,14 +64,14 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	s := &Server{
-		listener: &counting{Listener: inner},
-		clock:    clockwork.NewRealClock(), log: logr.Discard(),
+		clock: clockwork.NewRealClock(), log: logr.Discard(),
 		idle:  func() time.Duration { return 0 },
 		conns: make(map[net.Conn]connState), done: make(chan struct{}), stop: stop,
 	}
 	for _, opt := range opts {
 		opt(s)
 	}
+	s.listener = NewQueue(inner, s.clock)
 	s.server = &http.Server{
 		Handler: s.part(handler), ReadHeaderTimeout: headerTime, MaxHeaderBytes: maxHeader, ConnState: s.change,
 	}
@@ -162,7 +159,7 @@
 func (s *Server) Drain(ctx context.Context) error {
 	s.Part()
 	s.stop()
-	if err := s.emptyQueue(ctx); err != nil {
+	if err := s.listener.Empty(ctx); err != nil {
 		return err
 	}
 	if err := s.server.Shutdown(ctx); err != nil {
@@ -172,24 +169,6 @@
 	return nil
 }
 
-// emptyQueue waits until no connection has been accepted for a moment: closing a
-// listener resets the connections that wait to be accepted.
-func (s *Server) emptyQueue(ctx context.Context) error {
-	for {
-		before := s.listener.accepted.Load()
-		timer := s.clock.NewTimer(quietTime)
-		select {
-		case <-ctx.Done():
-			timer.Stop()
-			return fmt.Errorf("empty accept queue of %s: %w", s.listener.Addr(), ctx.Err())
-		case <-timer.Chan():
-		}
-		if s.listener.accepted.Load() == before {
-			return nil
-		}
-	}
-}
-
 // Close ends the server at once. Requests under way are cut.
 func (s *Server) Close() error {
 	s.stop()
@@ -200,18 +179,3 @@
 	}
 	return nil
 }
-
-// counting counts the connections that are accepted.
-type counting struct {
-	net.Listener
-	accepted atomic.Uint64
-}
-
-// Accept implements net.Listener.
-func (c *counting) Accept() (net.Conn, error) {
-	conn, err := c.Listener.Accept()
-	if err == nil {
-		c.accepted.Add(1)
-	}
-	return conn, err
-}
