Let one member write the ownership table for all; book load that is on its way

Members with room were given the same load by many others at once, since rates and gossip show it a second or two later. Callers whose table was old waited for it though the daemon that they asked had named the owner. Ruled out: the store (a write takes 10 ms), lost datagrams. Change: members ask the first live member to write handovers, joins and departures; it puts what comes within 80 ms into one version; who is not served within 500 ms writes itself. Guards: same run of the member, same fencing tokens. Rows carry the load with which they were given, and loads are reckoned with what changed hands since. Callers follow the owner named in a refusal. A table that changed while another was fetched is fetched next.

--- a/atlas/atlas_test.go
+++ b/atlas/atlas_test.go
@@ -49,9 +49,9 @@
 	first := atlas.New("events").Change()
 	first.Join(member("b", 1))
 	first.Join(member("a", 1))
-	c.Assert(first.Assign(atlas.NewSpan(0, 99), "b", ""), qt.IsTrue)
-	c.Assert(first.Assign(atlas.NewSpan(100, 199), "a", "t"), qt.IsTrue)
-	c.Assert(first.Assign(atlas.NewSpan(0, 1), "nobody", ""), qt.IsFalse)
+	c.Assert(first.Assign(atlas.NewSpan(0, 99), "b", "", 0), qt.IsTrue)
+	c.Assert(first.Assign(atlas.NewSpan(100, 199), "a", "t", 0), qt.IsTrue)
+	c.Assert(first.Assign(atlas.NewSpan(0, 1), "nobody", "", 0), qt.IsFalse)
 	one := written(first)
 	c.Assert(one.Version(), qt.Equals, uint64(1))
 	owner, ok := one.Owner(99)
@@ -61,7 +61,7 @@
 	c.Assert(ok, qt.IsFalse)
 
 	second := one.Change()
-	second.Assign(atlas.NewSpan(50, 149), "a", "")
+	second.Assign(atlas.NewSpan(50, 149), "a", "", 0)
 	two := written(second)
 	c.Assert(atlas.Spans(two.RowsOf("b")), qt.DeepEquals, []atlas.Span{atlas.NewSpan(0, 49)})
 	c.Assert(atlas.Spans(one.RowsOf("b")), qt.DeepEquals, []atlas.Span{atlas.NewSpan(0, 99)})
@@ -78,9 +78,9 @@
 	for _, host := range []ident.Host{"c", "a", "b"} {
 		change.Join(member(host, 1))
 	}
-	change.Assign(atlas.NewSpan(0, 9), "a", "")
-	change.Assign(atlas.NewSpan(10, 19), "b", "")
-	change.Assign(atlas.NewSpan(20, 65535), "c", "")
+	change.Assign(atlas.NewSpan(0, 9), "a", "", 0)
+	change.Assign(atlas.NewSpan(10, 19), "b", "", 0)
+	change.Assign(atlas.NewSpan(20, 65535), "c", "", 0)
 	one := written(change)
 	drop := one.Change()
 	drop.Drop("b")
@@ -96,7 +96,7 @@
 	c := qt.New(t)
 	change := atlas.New("events").Change()
 	change.Join(member("a", 1))
-	change.Assign(atlas.Whole(), "a", "token")
+	change.Assign(atlas.Whole(), "a", "token", 0)
 	one := written(change)
 	again := one.Change()
 	again.Join(member("a", 2))
@@ -113,7 +113,7 @@
 	c := qt.New(t)
 	change := atlas.New("events").Change()
 	change.Join(member("a", 1))
-	change.Assign(atlas.NewSpan(7, 9), "a", "abc")
+	change.Assign(atlas.NewSpan(7, 9), "a", "abc", 0)
 	one := written(change)
 	data, err := one.Encode()
 	c.Assert(err, qt.IsNil)
@@ -159,7 +159,7 @@
 		case 1:
 			change.Renew(host)
 		default:
-			change.Assign(atlas.NewSpan(from, from+uint32(rng.IntN(500))), host, "")
+			change.Assign(atlas.NewSpan(from, from+uint32(rng.IntN(500))), host, "", 0)
 		}
 		table = written(change)
 		for _, p := range []uint32{from, from + 250, from + 500, 65535} {
@@ -187,7 +187,7 @@
 	for i := range 40 {
 		host := ident.Host(fmt.Sprintf("upstream-host-%02d", i))
 		change.Join(atlas.Member{Inc: ident.NewIncarnation(host, uint64(1000+i))})
-		change.Assign(atlas.NewSpan(uint32(i)*1600, uint32(i)*1600+1599), host, "")
+		change.Assign(atlas.NewSpan(uint32(i)*1600, uint32(i)*1600+1599), host, "", 0)
 	}
 	table := written(change)
 	data, err := table.Encode()
--- a/atlas/change.go
+++ b/atlas/change.go
@@ -14,7 +14,7 @@
 }
 
 // Fence returns the lowest fencing token of the new version.
-func (c *Change) Fence() Fence { return Fence(c.table.version) * Tenures }
+func (c *Change) Fence() Fence { return FenceAfter(c.table.version - 1) }
 
 // Changed reports whether anything differs from the version before.
 func (c *Change) Changed() bool { return c.changed }
@@ -60,16 +60,16 @@
 }
 
 // Assign gives a range to the member on a host under a new fencing token. Token
-// is what the last holder handed over. It reports false, and does nothing, when
-// the host is no member.
-func (c *Change) Assign(span Span, host ident.Host, token string) bool {
+// is what the last holder handed over, rate the load of the range in calls per
+// second. It reports false, and does nothing, when the host is no member.
+func (c *Change) Assign(span Span, host ident.Host, token string, rate float64) bool {
 	owner := c.table.index(host)
 	if owner < 0 || !span.check() {
 		return false
 	}
 	c.Release(span)
 	c.changed = true
-	row := Row{Span: span, Owner: owner, Fence: c.Fence(), Token: token}
+	row := Row{Span: span, Owner: owner, Fence: c.Fence(), Token: token, Rate: float32(rate)}
 	at, _ := slices.BinarySearchFunc(c.table.doc.Rows, span.From, func(r Row, p Point) int {
 		return int(r.Span.From) - int(p)
 	})
@@ -90,6 +90,7 @@
 		for _, rest := range Without([]Span{r.Span}, []Span{span}) {
 			part := r
 			part.Span = rest
+			part.Rate = r.Rate * float32(rest.Size()) / float32(r.Span.Size())
 			rows = append(rows, part)
 		}
 	}
@@ -103,6 +104,7 @@
 		if n := len(rows); n > 0 && rows[n-1].Span.To+1 == r.Span.From && rows[n-1].Owner == r.Owner &&
 			rows[n-1].Fence == r.Fence && rows[n-1].Token == r.Token {
 			rows[n-1].Span.To = r.Span.To
+			rows[n-1].Rate += r.Rate
 			continue
 		}
 		rows = append(rows, r)
--- a/atlas/doc.go
+++ b/atlas/doc.go
@@ -11,7 +11,7 @@
 //
 //	next := table.Change()
 //	next.Join(atlas.Member{Inc: self, Witnesses: witnesses})
-//	next.Assign(atlas.NewSpan(0, 4095), self.Host, "")
+//	next.Assign(atlas.NewSpan(0, 4095), self.Host, "", rate)
 //	data, err := next.Sign(self, 1).Encode()
 //	// The write is conditional on table.Version(); its version is the next one.
 package atlas
--- a/atlas/table.go
+++ b/atlas/table.go
@@ -50,6 +50,8 @@
 	Fence Fence
 	// Token is what the last holder handed over; empty when there is none.
 	Token string
+	// Rate is the load of the range when its owner got it, in calls per second.
+	Rate float32
 }
 
 // document is the encoded form of a table.
@@ -177,6 +179,24 @@
 	return rows
 }
 
+// Holds reports whether a member's run owns all keys of a range under a fencing
+// token.
+func (t *Table) Holds(owner ident.Incarnation, span Span, fence Fence) bool {
+	if member, ok := t.Member(owner.Host); !ok || member.Inc != owner {
+		return false
+	}
+	var held []Span
+	for _, r := range t.RowsOf(owner.Host) {
+		if r.Fence == fence {
+			held = append(held, r.Span)
+		}
+	}
+	return span.check() && len(Without([]Span{span}, held)) == 0
+}
+
+// FenceAfter returns the lowest fencing token of the versions after the given one.
+func FenceAfter(version uint64) Fence { return Fence(version+1) * Tenures }
+
 // Unowned returns the ranges that have no owner, in order.
 func (t *Table) Unowned() []Span {
 	spans := make([]Span, 0, len(t.doc.Rows))
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -31,6 +31,51 @@
 	// when it concerns the receiver.
 	Changed *Version `cbor:"7,keyasint,omitempty"`
 	Urgent  bool     `cbor:"9,keyasint,omitempty"`
+	// Request asks the receiver to write changes of the ownership table.
+	Request *Request `cbor:"11,keyasint,omitempty"`
+}
+
+// Request is what a member wants written into the ownership table. It counts only
+// while the table still says what the member has read.
+type Request struct {
+	_       struct{} `cbor:",toarray"`
+	Service ident.Service
+	// Owner is the lease of the member that asks.
+	Owner ident.Incarnation
+	// Moves are the next owners of ranges that its upstream has let go of. The
+	// member is bound by them: it never grants these ranges again.
+	Moves []Move
+	// Join is set while the member is not in the table.
+	Join *Join
+	// Leave is set when the member wants no keys; it ends once it owns none.
+	Leave bool
+}
+
+// Join makes the member that asks one of the table.
+type Join struct {
+	_         struct{} `cbor:",toarray"`
+	Witnesses []ident.Incarnation
+	// Before is the run on the same host that the table named; zero for none.
+	Before ident.Incarnation
+	// Version is the version of the table that the member has read.
+	Version uint64
+	// Renew is set when its upstream does not hold what the run before owned.
+	Renew bool
+}
+
+// Move is a range of keys, both ends included, that gets another owner.
+type Move struct {
+	_    struct{} `cbor:",toarray"`
+	From uint32
+	To   uint32
+	// Fence is the fencing token of the row that the range belongs to; the move is
+	// void once the row has another one.
+	Fence uint64
+	Taker ident.Host
+	// Token is what the upstream handed over; empty for nothing.
+	Token string
+	// Rate is the load of the range, in calls per second.
+	Rate float32
 }
 
 // Beat is the counter of one daemon, in the few bytes that let every message carry
--- a/mesh/fleet.go
+++ b/mesh/fleet.go
@@ -110,6 +110,14 @@
 		n.mu.Unlock()
 		n.kick()
 	}
+	if m.Request != nil {
+		n.mu.Lock()
+		if n.machine != nil {
+			n.machine.Take(now, *m.Request)
+		}
+		n.mu.Unlock()
+		n.kick()
+	}
 	if m.Changed != nil {
 		n.hear(now, m.From.Host, *m.Changed, m.Urgent)
 	}
@@ -177,7 +185,7 @@
 			n.machine.Heard(v.Number)
 		}
 		if urgent {
-			t.fetched = now
+			t.fetched, t.urgent = now, v.Number
 			fetch = true
 		}
 	}
--- a/mesh/fleet_test.go
+++ b/mesh/fleet_test.go
@@ -167,8 +167,11 @@
 	for i := range media {
 		hosts = append(hosts, newHost(c, fmt.Sprintf("m%02d", i), plain, mem))
 	}
-	for _, key := range []uint32{0, 20000, 40000, 65535} {
-		eventually(c, func() bool { return call(hosts[0].node, key) == nil })
+	for _, h := range hosts {
+		// Each host learns of the first owners in its own time.
+		for _, key := range []uint32{0, 20000, 40000, 65535} {
+			eventually(c, func() bool { return call(h.node, key) == nil })
+		}
 	}
 	return mem, hosts
 }
--- a/mesh/tables.go
+++ b/mesh/tables.go
@@ -60,6 +60,8 @@
 	heard   uint64
 	from    string
 	fetched time.Time
+	// urgent is the highest version that concerns this daemon.
+	urgent uint64
 }
 
 // topicOf returns the topic of a service's table.
@@ -324,6 +326,7 @@
 		return
 	}
 	n.run(func() {
+		defer n.fetchUrgent(v)
 		defer n.fetching.Delete(v.Name)
 		ctx, cancel := context.WithCancel(n.ctx)
 		defer cancel()
@@ -338,6 +341,23 @@
 	})
 }
 
+// fetchUrgent fetches the version of a table that concerns this daemon and was
+// told of while the given one was being fetched.
+func (n *Node) fetchUrgent(fetched gossip.Version) {
+	n.mu.Lock()
+	var from string
+	var version gossip.Version
+	for _, t := range n.tables {
+		if topicOf(t.service) == fetched.Name && t.urgent > t.current.Version() && t.heard > fetched.Number {
+			from, version = t.from, gossip.Version{Name: fetched.Name, Number: t.heard}
+		}
+	}
+	n.mu.Unlock()
+	if from != "" {
+		n.fetch(from, version)
+	}
+}
+
 // refresh fetches the tables of which a newer version was heard: at once where the
 // machine needs it for a proposal, the others after a while.
 func (n *Node) refresh(now time.Time, needed bool) {
--- a/owner/doc.go
+++ b/owner/doc.go
@@ -18,6 +18,11 @@
 //   - A planned move first takes the keys out of the grants, waits until the
 //     upstream no longer holds them, and then writes the new owner together with
 //     what the upstream handed over.
+//   - Members ask one of them, the scribe, to write their handovers, joins and
+//     departures together; one that is not answered writes itself. A request counts
+//     only while the table names the same run of the member, and its ranges have the
+//     fencing tokens that the member has read. A member never grants again what it
+//     asked to hand over.
 //   - A daemon that starts beside an upstream that still holds keys goes on with
 //     them, under the same fencing tokens, if the table still names its host.
 //   - The fencing tokens of one version of the table lie above those of all
--- a/owner/heartbeat.go
+++ b/owner/heartbeat.go
@@ -30,7 +30,7 @@
 	u.number, u.beat, u.present, u.free = hb.Number, now, true, false
 	u.leaving = hb.Leaving || u.departed
 	u.holds = hb.Holds
-	m.takeReleased(hb)
+	m.takeReleased(now, hb)
 	return true
 }
 
@@ -65,15 +65,15 @@
 }
 
 // takeReleased finds the moves whose keys the upstream has let go of.
-func (m *Machine) takeReleased(hb Heartbeat) {
+func (m *Machine) takeReleased(now time.Time, hb Heartbeat) {
 	for _, r := range m.releases {
 		for _, freed := range hb.Released {
 			if cut, ok := freed.Span.Cut(r.span); ok {
 				r.tokens = append(r.tokens, Released{Span: cut, Token: freed.Token})
 			}
 		}
-		if r.asked && hb.Number > r.after && !holdsAny(hb.Holds, r.span) {
-			r.done = true
+		if !r.done && r.asked && hb.Number > r.after && !holdsAny(hb.Holds, r.span) {
+			r.done, r.ended = true, now
 		}
 	}
 }
@@ -249,9 +249,10 @@
 	if u.free {
 		return true
 	}
-	if u.id == "" {
-		// An earlier run of the daemon may have granted something just before.
-		return now.Sub(m.started) > time.Duration(float64(m.hold)*(1+2*holdSlack))
+	// An earlier run of the daemon may have granted something just before.
+	until := m.started.Add(time.Duration(float64(m.hold) * (1 + 2*holdSlack)))
+	if u.until.After(until) {
+		until = u.until
 	}
-	return now.After(u.until)
+	return now.After(until)
 }
--- /dev/null
+++ b/owner/ledger_test.go
@@ -0,0 +1,73 @@
+package owner_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/monsoonmoor/monsoonmoor/atlas"
+	"github.com/monsoonmoor/monsoonmoor/gossip"
+	"github.com/monsoonmoor/monsoonmoor/ident"
+	"github.com/monsoonmoor/monsoonmoor/owner"
+	"github.com/monsoonmoor/monsoonmoor/plan"
+)
+
+// A member that was given load a moment ago is not given as much again, though
+// what it last told of its load does not show it.
+func TestLoadOnItsWayCounts(t *testing.T) {
+	const rate, touches = 40.0, 400
+	c := qt.New(t)
+	self, a, b := ident.NewIncarnation("self", 1), ident.NewIncarnation("a", 1), ident.NewIncarnation("b", 1)
+	given := func(onItsWay float64) map[ident.Host]float64 {
+		now := epoch
+		heat := plan.NewHeat()
+		for i := range uint32(touches) {
+			heat.Touch(i % 100)
+			if i == 0 {
+				heat.Tick(now)
+			}
+		}
+		heat.Tick(now.Add(4 * time.Second))
+		now = now.Add(4 * time.Second)
+		m := owner.New(self, service, now, owner.WithTerms(terms), owner.WithHold(hold), owner.WithHeat(heat, plan.NewHeat()))
+		change := atlas.New(service).Change()
+		for _, inc := range []ident.Incarnation{self, a, b} {
+			change.Join(atlas.Member{Inc: inc, Witnesses: []ident.Incarnation{a}})
+		}
+		change.Assign(atlas.NewSpan(0, 30000), "self", "", 0)
+		change.Assign(atlas.NewSpan(30001, atlas.Space-1), "b", "", 0)
+		first := change.Sign(self, 1)
+		m.Read(now, first)
+		change = first.Change()
+		change.Assign(atlas.NewSpan(40000, 50000), "a", "", onItsWay)
+		m.Read(now, change.Sign(b, 1))
+		entry := func(inc ident.Incarnation, offered float32) gossip.Entry {
+			return gossip.Entry{
+				Inc: inc, Service: service, Condition: gossip.Ready, Slots: 10,
+				Load: gossip.Load{Offered: offered, Capacity: 100},
+			}
+		}
+		live := []gossip.Entry{entry(a, 0), entry(b, 0), entry(self, 100)}
+		m.Heartbeat(now, owner.Heartbeat{Life: 1, ID: "u", Number: 1})
+		for i := range uint64(30) {
+			now = now.Add(20 * time.Millisecond)
+			for _, msg := range m.Tick(now, live).Messages {
+				if msg.Message.Renewal != nil {
+					m.Renewed(a, msg.Message.Renewal.Number)
+				}
+			}
+			_ = i
+		}
+		rates := make(map[ident.Host]float64)
+		for _, move := range m.Moving() {
+			rates[move.To] += heat.Rate(move.Span)
+		}
+		return rates
+	}
+	even := given(0)
+	c.Assert(even["a"] > 0, qt.IsTrue, qt.Commentf("%v", even))
+	booked := given(rate)
+	c.Check(booked["a"] < even["a"]/2, qt.IsTrue, qt.Commentf("%v where nothing was on its way, %v", even, booked))
+	c.Check(booked["b"] >= even["b"], qt.IsTrue, qt.Commentf("%v, %v", even, booked))
+}
--- a/owner/machine.go
+++ b/owner/machine.go
@@ -23,7 +23,9 @@
 	fleet   *plan.Heat
 	rng     *rand.Rand
 
-	started  time.Time
+	started time.Time
+	// now is the time of the last tick.
+	now      time.Time
 	table    *atlas.Table
 	read     bool
 	holder   *lease.Holder
@@ -52,6 +54,13 @@
 	suspects map[ident.Host]*suspect
 	unowned  time.Time
 
+	// requests are what other members asked this one to write, by host.
+	requests map[ident.Host]request
+	// asked is when this member asked the scribe last, joining and leaving since
+	// when it wants to join or leave.
+	asked, joining, leaving time.Time
+	bookings                ledger
+
 	proposal *atlas.Table
 	// heard is the highest version of the table that anyone has told of.
 	heard  uint64
@@ -95,6 +104,8 @@
 	done   bool
 	tokens []Released
 	since  time.Time
+	// ended is when the upstream was known to have let go.
+	ended time.Time
 }
 
 // suspect is a member whose lease may have ended.
@@ -135,9 +146,9 @@
 		started:  now,
 		table:    atlas.New(service),
 		renewals: make(map[uint64]time.Time),
-		suspects: make(map[ident.Host]*suspect),
-		refused:  make(map[ident.Incarnation]bool),
-		ranks:    make(map[ident.Host]uint64),
+		suspects: make(map[ident.Host]*suspect), requests: make(map[ident.Host]request),
+		refused: make(map[ident.Incarnation]bool),
+		ranks:   make(map[ident.Host]uint64),
 	}
 	for _, opt := range opts {
 		opt(m)
@@ -184,6 +195,8 @@
 	if m.proposal != nil && t.Version() >= m.proposal.Version() {
 		m.proposal = nil
 	}
+	m.bookings.book(now, before, t)
+	m.renewTenure(before.Version())
 	m.dropStaleReleases()
 	for host, s := range m.suspects {
 		if member, ok := t.Member(host); !ok || member.Inc != s.owner {
@@ -200,6 +213,17 @@
 	}
 }
 
+// renewTenure starts the tenure anew when all ranges are new: nothing was granted
+// under their fencing tokens.
+func (m *Machine) renewTenure(before uint64) {
+	for _, row := range m.table.RowsOf(m.host) {
+		if row.Fence < atlas.FenceAfter(before) {
+			return
+		}
+	}
+	m.tenure = 0
+}
+
 // Heard takes the news that there is a version of the table.
 func (m *Machine) Heard(version uint64) { m.heard = max(m.heard, version) }
 
--- a/owner/moves.go
+++ b/owner/moves.go
@@ -86,7 +86,7 @@
 		rows := m.table.RowsOf(e.Inc.Host)
 		members = append(members, plan.Member{
 			Host:     e.Inc.Host,
-			Offered:  float64(e.Load.Offered),
+			Offered:  m.offered(e),
 			Capacity: float64(e.Load.Capacity),
 			Slots:    int(e.Slots),
 			Cold:     time.Duration(e.Load.Cold) * time.Millisecond,
@@ -96,3 +96,12 @@
 	}
 	return plan.Complete(members)
 }
+
+// Moving returns the planned moves that are under way.
+func (m *Machine) Moving() []plan.Piece {
+	pieces := make([]plan.Piece, 0, len(m.releases))
+	for _, r := range m.releases {
+		pieces = append(pieces, plan.Piece{Span: r.span, To: r.to})
+	}
+	return pieces
+}
--- a/owner/propose.go
+++ b/owner/propose.go
@@ -23,6 +23,9 @@
 	// raceDelay spreads the next attempts of members that lost a race, for each
 	// daemon of the service: a write takes about that long.
 	raceDelay = 12 * time.Millisecond
+	// writeGap is the least time between two writes of the scribe: what is asked for
+	// meanwhile goes into one version, which all members read.
+	writeGap = 80 * time.Millisecond
 	// retryDelay is the time before a refused or unanswered write is repeated.
 	retryDelay = 250 * time.Millisecond
 )
@@ -30,9 +33,10 @@
 // Tick tells the machine the time and what is known of the fleet, and returns
 // what is to be done.
 func (m *Machine) Tick(now time.Time, live []gossip.Entry) Actions {
-	m.live = live
+	m.live, m.now = live, now
 	a := Actions{Messages: m.renew(now)}
 	a.Messages = append(a.Messages, m.ballot(now)...)
+	a.Messages = append(a.Messages, m.ask(now)...)
 	if m.planMoves(now) {
 		a.Regrant = true
 	}
@@ -57,9 +61,15 @@
 	switch outcome {
 	case Written:
 		m.Read(now, proposal)
+		if m.scribe() == m.host {
+			m.quiet = now.Add(writeGap)
+		}
 	case Lost:
 		m.proposal = nil
-		spread := raceDelay * time.Duration(max(1, m.rivals()))
+		spread := raceDelay
+		if m.scribe() != m.host {
+			spread *= time.Duration(max(1, m.rivals()))
+		}
 		m.quiet = now.Add(time.Duration(m.rng.Int64N(int64(spread) + 1)))
 	case Refused, Unknown:
 		m.proposal = nil
@@ -69,8 +79,7 @@
 
 // hasBusiness reports whether the member may have something to propose.
 func (m *Machine) hasBusiness(now time.Time) bool {
-	done := slices.ContainsFunc(m.releases, func(r *release) bool { return r.done })
-	return done || len(m.suspects) > 0 || !m.unowned.IsZero() || m.isFree(now) || m.IsMember() != m.wantsKeys() ||
+	return m.handsOver(now) || len(m.requests) > 0 || len(m.suspects) > 0 || !m.unowned.IsZero() || m.isFree(now) || m.IsMember() != m.wantsKeys() ||
 		m.needsWitnesses(now)
 }
 
@@ -89,8 +98,11 @@
 func (m *Machine) propose(now time.Time) *atlas.Table {
 	c := m.table.Change()
 	m.proposeMembership(now, c)
+	m.proposeRequests(now, c)
 	if _, ok := m.table.Member(m.host); ok && m.IsMember() {
-		m.proposeReleases(c)
+		if c.Changed() || m.handsOver(now) {
+			m.assign(c, m.Lease(), m.dueMoves())
+		}
 		m.proposeLoss(now, c)
 	}
 	m.proposeLeave(now, c)
@@ -113,7 +125,7 @@
 		return
 	case joined:
 		m.note("naming witnesses", "witnesses", names(m.candidates), "before", names(m.holder.Witnesses()))
-	case !m.wantsKeys() || !m.isCovered(now) || !m.isTurnToJoin(now):
+	case m.join(now) == nil || !m.writesItself(now, m.joining) || !m.isTurnToJoin(now):
 		return
 	default:
 		m.note("joining", "lease", m.Lease().String(), "witnesses", names(m.candidates))
@@ -140,19 +152,19 @@
 // proposeResume decides whether the upstream goes on with the ranges that an
 // earlier run of this daemon had: it does if it still holds them, or never did.
 func (m *Machine) proposeResume(c *atlas.Change) {
-	resumed := true
-	for _, row := range m.table.RowsOf(m.host) {
-		if !m.holdsRow(row) {
-			resumed = false
-		}
-	}
+	resumed := m.holdsRows()
 	if !resumed {
-		m.tenure = 0
 		c.Renew(m.host)
 	}
 	m.note("resuming ranges", "rows", len(m.table.RowsOf(m.host)), "same_tokens", resumed)
 }
 
+// holdsRows reports whether the upstream holds all rows of this host under their
+// tokens.
+func (m *Machine) holdsRows() bool {
+	return !slices.ContainsFunc(m.table.RowsOf(m.host), func(row atlas.Row) bool { return !m.holdsRow(row) })
+}
+
 // holdsRow reports whether the upstream holds a whole row under its token.
 func (m *Machine) holdsRow(row atlas.Row) bool {
 	rest := []atlas.Span{row.Span}
@@ -164,37 +176,6 @@
 	return len(rest) == 0
 }
 
-// proposeReleases hands over what the upstream has let go of.
-func (m *Machine) proposeReleases(c *atlas.Change) {
-	var given []string
-	for _, r := range m.releases {
-		if !r.done {
-			continue
-		}
-		to := r.to
-		if !m.canTake(to) {
-			pieces := m.divide([]atlas.Span{r.span}, true)
-			if len(pieces) == 0 {
-				continue
-			}
-			to = pieces[0].To
-		}
-		rest := []atlas.Span{r.span}
-		for _, freed := range r.tokens {
-			if c.Assign(freed.Span, to, freed.Token) {
-				rest = atlas.Without(rest, []atlas.Span{freed.Span})
-			}
-		}
-		for _, span := range rest {
-			c.Assign(span, to, "")
-		}
-		given = append(given, r.span.String()+"="+string(to))
-	}
-	if len(given) > 0 {
-		m.note("handing over", "ranges", few(given), "count", len(given))
-	}
-}
-
 // proposeLoss gives away the ranges of an upstream that is gone.
 func (m *Machine) proposeLoss(now time.Time, c *atlas.Change) {
 	if !m.isFree(now) {
@@ -203,7 +184,7 @@
 	rows := m.table.RowsOf(m.host)
 	var given []string
 	for _, p := range m.divide(atlas.Spans(rows), true) {
-		c.Assign(p.Span, p.To, "")
+		c.Assign(p.Span, p.To, "", m.heat.Rate(p.Span))
 		given = append(given, p.Span.String()+"="+string(p.To))
 	}
 	if len(given) > 0 {
@@ -217,15 +198,16 @@
 	if !ok {
 		return
 	}
-	left := m.stopping || m.upstream.leaving || m.isFree(now)
-	if !left || len(c.RowsOf(m.host)) > 0 {
-		if member.Inc != m.Lease() && m.isFree(now) {
-			m.leaveForLostRun(c)
+	switch {
+	case m.wantsToLeave(now) && len(c.RowsOf(m.host)) == 0:
+		if member.Inc == m.Lease() && !c.Changed() && !m.writesItself(now, m.leaving) {
+			return
 		}
-		return
+		m.note("leaving", "lease", m.Lease().String())
+		c.Drop(m.host)
+	case member.Inc != m.Lease() && m.isFree(now):
+		m.leaveForLostRun(c)
 	}
-	m.note("leaving", "lease", m.Lease().String())
-	c.Drop(m.host)
 }
 
 // leaveForLostRun gives away what an earlier run of this daemon owned, when the
@@ -236,7 +218,7 @@
 		return
 	}
 	for _, p := range pieces {
-		c.Assign(p.Span, p.To, "")
+		c.Assign(p.Span, p.To, "", m.guess(p.Span))
 	}
 	c.Drop(m.host)
 	m.note("giving away the ranges of an earlier run", "pieces", len(pieces))
@@ -268,7 +250,7 @@
 	spans := m.table.Unowned()
 	var given []string
 	for _, p := range m.divide(spans, false) {
-		if c.Assign(p.Span, p.To, "") {
+		if c.Assign(p.Span, p.To, "", m.guess(p.Span)) {
 			given = append(given, p.Span.String()+"="+string(p.To))
 		}
 	}
@@ -340,7 +322,7 @@
 		if !m.canTake(e.Inc.Host) || (others && e.Inc.Host == m.host) {
 			continue
 		}
-		shares = append(shares, plan.Share{Host: e.Inc.Host, Weight: weightOf(e)})
+		shares = append(shares, plan.Share{Host: e.Inc.Host, Weight: weightOf(e, m.offered(e))})
 	}
 	if len(shares) == 0 {
 		return nil
@@ -383,12 +365,22 @@
 	return offered * part / (1 - part)
 }
 
+// guess returns the rate of calls for keys of others, zero when nothing is known.
+func (m *Machine) guess(span atlas.Span) float64 {
+	rate := m.estimate([]atlas.Span{span})
+	if math.IsInf(rate, 1) {
+		return 0
+	}
+	return rate
+}
+
 // leastShare is the part of its capacity that a busy member counts for, so that
 // keys find an owner even when all are busy.
 const leastShare = 0.15
 
-// weightOf returns how much a member should take of keys that need an owner.
-func weightOf(e gossip.Entry) float64 {
+// weightOf returns how much a member should take of keys that need an owner, when
+// it is offered the given rate.
+func weightOf(e gossip.Entry, offered float64) float64 {
 	capacity := float64(e.Load.Capacity)
 	if capacity <= 0 {
 		return max(1, float64(e.Slots))
@@ -397,7 +389,7 @@
 	if e.Load.Cold > 0 {
 		room /= 2
 	}
-	return max(room-float64(e.Load.Offered), leastShare*room)
+	return max(room-offered, leastShare*room)
 }
 
 func names(incs []ident.Incarnation) []string {
--- a/owner/takeover.go
+++ b/owner/takeover.go
@@ -84,7 +84,7 @@
 		rows := m.table.RowsOf(host)
 		pieces := m.divide(atlas.Spans(rows), false)
 		for _, p := range pieces {
-			c.Assign(p.Span, p.To, "")
+			c.Assign(p.Span, p.To, "", m.guess(p.Span))
 		}
 		c.Drop(host)
 		m.note("taking over", "member", s.owner.String(), "votes", votes, "witnesses", len(member.Witnesses),
--- a/owner/world_test.go
+++ b/owner/world_test.go
@@ -32,6 +32,8 @@
 	unconditional bool
 	// slow makes upstreams' clocks run far slower than is allowed for.
 	slow bool
+	// alone makes members ignore what others ask them to write.
+	alone bool
 	// mute makes upstreams keep silent about ranges that they still work on.
 	mute bool
 }
@@ -59,12 +61,14 @@
 
 // daemon is one machine with what surrounds it.
 type daemon struct {
-	host     ident.Host
-	boot     uint64
-	machine  *owner.Machine
-	witness  *lease.Witness
-	up       bool
-	back     time.Time
+	host    ident.Host
+	boot    uint64
+	machine *owner.Machine
+	witness *lease.Witness
+	up      bool
+	back    time.Time
+	// ends is when a daemon that gives its keys away ends.
+	ends     time.Time
 	frozen   time.Time
 	cut      time.Time
 	noStore  time.Time
@@ -102,6 +106,8 @@
 	noStore time.Time
 	// lossless keeps datagrams from being lost.
 	lossless bool
+	// races counts the writes that lost against another one.
+	races int
 	// tokens is the highest fencing token under which anyone held a key of each
 	// probed key, and who did.
 	tokens  map[atlas.Point]atlas.Fence
@@ -201,6 +207,9 @@
 
 func (w *world) revive() {
 	for _, d := range w.daemons {
+		if !d.ends.IsZero() && !w.now.Before(d.ends) {
+			d.ends, d.up, d.back = time.Time{}, false, w.now.Add(w.delay(500))
+		}
 		if !d.up && !w.now.Before(d.back) {
 			w.start(d)
 		}
@@ -245,6 +254,10 @@
 		if d.witness.Vote(w.now, m.Ballot.Owner, m.Ballot.Witness) {
 			w.send(d, m.From.Host, gossip.Message{From: self, Vote: m.Ballot})
 		}
+	case m.Request != nil:
+		if !w.rules.alone {
+			d.machine.Take(w.now, *m.Request)
+		}
 	case m.Vote != nil:
 		d.machine.Voted(m.Vote.Owner, m.Vote.Witness)
 		if m.Vote.Owner.Host == d.host {
@@ -293,6 +306,7 @@
 	}
 	d.writing = nil
 	if p.outcome == owner.Lost {
+		w.races++
 		d.machine.Read(w.now, w.newest)
 	}
 	d.machine.Settled(w.now, p.proposal, p.outcome)
@@ -387,15 +401,22 @@
 	return false
 }
 
+// isHeld reports whether some upstream holds a key.
+func (w *world) isHeld(p atlas.Point) bool {
+	for _, d := range w.daemons {
+		if d.upstream.up && d.upstream.has(w.now, p) {
+			return true
+		}
+	}
+	return false
+}
+
 // held returns how many of the probed keys some upstream holds.
 func (w *world) held() int {
 	n := 0
 	for _, p := range probes {
-		for _, d := range w.daemons {
-			if d.upstream.up && d.upstream.has(w.now, p) {
-				n++
-				break
-			}
+		if w.isHeld(p) {
+			n++
 		}
 	}
 	return n
@@ -405,7 +426,7 @@
 func (w *world) disturb() {
 	d := w.daemons[w.rng.IntN(len(w.daemons))]
 	long := w.now.Add(w.delay(3000))
-	switch w.rng.IntN(9) {
+	switch w.rng.IntN(10) {
 	case 0:
 		d.up, d.back = false, long
 	case 1:
@@ -428,5 +449,8 @@
 		}
 	case 8:
 		d.machine.Depart()
+	case 9:
+		d.machine.Stop(w.now)
+		d.ends = long
 	}
 }
--- a/steer/journey.go
+++ b/steer/journey.go
@@ -23,6 +23,8 @@
 	last *calls.Error
 	// unsure is the first attempt that may have run the call.
 	unsure *calls.Error
+	// hint is the owner that the last daemon named when it turned the call away.
+	hint ident.Host
 	// answer is an upstream's failure that was worth another try. It is returned
 	// if nothing better comes.
 	answer *calls.Reply
@@ -58,6 +60,10 @@
 // nextOwner returns the owner of the call's key, and waits for one for a while.
 func (j *journey) nextOwner(ctx context.Context) (Target, *calls.Error) {
 	r := j.router
+	if target, ok := r.directory.Target(j.hint); ok && j.hint != "" && !j.isStuck(j.hint) {
+		j.hint = ""
+		return target, nil
+	}
 	for {
 		changed := r.directory.Changed()
 		place, host := r.directory.Where(j.call.Service, j.call.Point)
@@ -138,7 +144,7 @@
 		j.unsure = e
 	}
 	if again {
-		j.last = e
+		j.last, j.hint = e, e.Hint().Host
 		j.mark(target, e)
 	}
 	return again
--- a/steer/steer_test.go
+++ b/steer/steer_test.go
@@ -226,3 +226,19 @@
 	b.Set(0, 1600)
 	c.Assert(spend(b, start), qt.Equals, 18)
 }
+
+// A caller whose table is old is told the owner by the daemon that it asked, and
+// goes there at once.
+func TestNamedOwnerIsAsked(t *testing.T) {
+	c := qt.New(t)
+	s := &script{
+		owner: "a", place: owner.Elsewhere, targets: remote("a", "b"),
+		answers: map[string][]error{
+			"a": {calls.NewNotRun(calls.ReasonNotOwner, calls.WithHint(ident.NewIncarnation("b", 0)))},
+		},
+	}
+	r := steer.New(s, s, s, steer.WithClock(clockwork.NewRealClock()), steer.WithSeed(1))
+	_, err := r.Run(context.Background(), newCall(calls.Terms{Attempts: 2, Target: 20 * time.Millisecond}, true))
+	c.Assert(err, qt.IsNil)
+	c.Check(s.to, qt.DeepEquals, []string{"a", "b"})
+}
