--- a/cmds/fleet.go
+++ b/cmds/fleet.go
@@ -19,6 +19,7 @@
 // fleetCmd runs the daemon beside an upstream on the users' platform.
 type fleetCmd struct {
 	Settings string `help:"The platform's settings file; otherwise the one that the platform's variable names." placeholder:"FILE"`
+	Metrics  string `help:"Address for metrics." placeholder:"ADDRESS" default:":9464"`
 	Verbose  int    `help:"Log level; 0 logs decisions, 1 every attempt." default:"0"`
 }
 
@@ -57,7 +58,7 @@
 	signal.Notify(ended, syscall.SIGINT, syscall.SIGTERM)
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
-	daemon, err := platform.Open(settings, clock, log)
+	daemon, err := platform.Open(settings, clock, log, platform.WithMetrics(c.Metrics))
 	if err != nil {
 		return errors.Join(fmt.Errorf("start daemon: %w", err), lines.Close())
 	}
--- a/owner/heartbeat.go
+++ b/owner/heartbeat.go
@@ -13,6 +13,9 @@
 	// leaseMargin is kept between the end of a grant and the end of the lease,
 	// for the way of the answer.
 	leaseMargin = 50 * time.Millisecond
+	// maxGranted is the number of ranges that an answer to a heartbeat grants: some
+	// 44 bytes each of the 4 KiB that upstreams read.
+	maxGranted = 88
 )
 
 // Heartbeat takes what the upstream says. It reports false for a heartbeat that
@@ -117,6 +120,10 @@
 			g.Rows = append(g.Rows, m.granted(row, span))
 		}
 	}
+	if len(g.Rows) > maxGranted {
+		m.note("more ranges than an answer holds", "rows", len(g.Rows), "granted", maxGranted)
+		g.Rows = g.Rows[:maxGranted]
+	}
 	m.noteGrant(g, now)
 	u.granted = g.Rows
 	u.until = now.Add(time.Duration(float64(g.Hold) * (1 + holdSlack)))
--- a/owner/ledger.go
+++ b/owner/ledger.go
@@ -9,12 +9,14 @@
 )
 
 const (
-	// bookedTime is how long a change of owners counts in full before what its
-	// members tell of their load shows it, and fadeTime how long it then takes to
-	// count for nothing: a rate is measured over a second, and gossip takes about
-	// another one through a large fleet.
-	bookedTime = time.Second
-	fadeTime   = 1500 * time.Millisecond
+	// bookedTime is how long a change of owners counts in full, since the upstream
+	// must be granted the keys first, and fadeTime how long it then takes to count
+	// for nothing: rates are measured over a second.
+	bookedTime = 500 * time.Millisecond
+	fadeTime   = time.Second
+	// tellTime is what gossip takes for each daemon of the fleet until all have heard
+	// of a member's load.
+	tellTime = 10 * time.Millisecond
 )
 
 // ledger holds the load that changed hands lately, so that members with room are
@@ -34,7 +36,7 @@
 func (l *ledger) book(now time.Time, before, after *atlas.Table) {
 	kept := l.bookings[:0]
 	for _, b := range l.bookings {
-		if now.Sub(b.at) < bookedTime+fadeTime {
+		if now.Sub(b.at) < keptTime {
 			kept = append(kept, b)
 		}
 	}
@@ -59,20 +61,29 @@
 	}
 }
 
-// change returns by how much a member's load differs from what it last told.
-func (l *ledger) change(now time.Time, host ident.Host) float64 {
+// keptTime is how long bookings are kept: none counts for longer in a fleet of a
+// few hundred daemons.
+const keptTime = 6 * time.Second
+
+// change returns by how much a member's load differs from what it last told, in a
+// fleet of the given size.
+func (l *ledger) change(now time.Time, host ident.Host, fleet int) float64 {
+	full := bookedTime + time.Duration(fleet)*tellTime
 	sum := 0.0
 	for _, b := range l.bookings {
 		if b.host == host {
-			left := 1 - float64(now.Sub(b.at)-bookedTime)/float64(fadeTime)
+			left := 1 - float64(now.Sub(b.at)-full)/float64(fadeTime)
 			sum += b.rate * min(1, max(0, left))
 		}
 	}
 	return sum
 }
 
-// offered returns the rate of calls that a daemon is offered, what has changed
-// hands lately included.
+// offered returns the rate of calls that a daemon is offered. What has changed hands
+// lately is included for others; this member measures its own load.
 func (m *Machine) offered(e gossip.Entry) float64 {
-	return max(0, float64(e.Load.Offered)+m.bookings.change(m.now, e.Inc.Host))
+	if e.Inc.Host == m.host {
+		return float64(e.Load.Offered)
+	}
+	return max(0, float64(e.Load.Offered)+m.bookings.change(m.now, e.Inc.Host, len(m.live)))
 }
--- a/owner/moves.go
+++ b/owner/moves.go
@@ -1,10 +1,13 @@
 package owner
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/monsoonmoor/monsoonmoor/atlas"
 	"github.com/monsoonmoor/monsoonmoor/gossip"
+	"github.com/monsoonmoor/monsoonmoor/ident"
 	"github.com/monsoonmoor/monsoonmoor/plan"
 )
 
@@ -16,6 +19,9 @@
 	lookInterval = 200 * time.Millisecond
 	// stuckTime is how long a move may take before it is given up.
 	stuckTime = 4 * time.Second
+	// manyRows is the number of ranges from which a member gives some away though its
+	// load does not ask for it.
+	manyRows = 64
 )
 
 // planMoves starts the moves that are due and reports whether there is a new
@@ -32,7 +38,11 @@
 		return false
 	}
 	m.looked = now
-	pieces := plan.Moves(m.host, m.table.RowsOf(m.host), m.heat, m.loads())
+	rows := m.table.RowsOf(m.host)
+	pieces := plan.Moves(m.host, rows, m.heat, m.loads())
+	if len(pieces) == 0 && len(rows) > manyRows {
+		pieces = m.shed(rows)
+	}
 	if len(pieces) == 0 {
 		return false
 	}
@@ -43,6 +53,25 @@
 	return true
 }
 
+// shed returns the quietest of many ranges, for the member with the fewest: the
+// answer to a heartbeat has room for a limited number.
+func (m *Machine) shed(rows []atlas.Row) []plan.Piece {
+	var taker ident.Host
+	fewest := manyRows
+	for _, member := range m.loads() {
+		if member.Host != m.host && member.Rows < fewest {
+			taker, fewest = member.Host, member.Rows
+		}
+	}
+	if taker == "" {
+		return nil
+	}
+	quietest := slices.MinFunc(rows, func(a, b atlas.Row) int {
+		return cmp.Compare(m.heat.Rate(a.Span), m.heat.Rate(b.Span))
+	})
+	return []plan.Piece{{Span: quietest.Span, To: taker}}
+}
+
 func (m *Machine) release(now time.Time, p plan.Piece) {
 	m.releases = append(m.releases, &release{span: p.Span, to: p.To, since: now})
 	m.note("releasing", "span", p.Span.String(), "to", string(p.To), "rate", int(m.heat.Rate(p.Span)))
--- /dev/null
+++ b/peers/web_test.go
@@ -0,0 +1,98 @@
+package peers_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/monsoonmoor/monsoonmoor/calls"
+	"github.com/monsoonmoor/monsoonmoor/peers"
+)
+
+// webPeer answers calls as the test says.
+type webPeer struct {
+	run func(ctx context.Context, call *calls.Call) (*calls.Reply, error)
+}
+
+func (p webPeer) Run(ctx context.Context, call *calls.Call) (*calls.Reply, error) {
+	return p.run(ctx, call)
+}
+
+func (p webPeer) Document(string) ([]byte, uint64, bool) { return nil, 0, false }
+
+func (p webPeer) Wait() time.Duration { return 0 }
+
+func openWeb(c *qt.C, run func(ctx context.Context, call *calls.Call) (*calls.Reply, error)) *peers.Web {
+	w, err := peers.ListenWeb("127.0.0.1:0", nil, webPeer{run})
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = w.Close() })
+	return w
+}
+
+func webCall(body string) *calls.Call {
+	return &calls.Call{
+		ID: "c1", Service: "events", Method: http.MethodPost, Path: "/x", Length: int64(len(body)),
+		Deadline: time.Now().Add(20 * time.Second), Body: calls.NewBuffered([]byte(body)),
+	}
+}
+
+func TestWebCarriesCalls(t *testing.T) {
+	c := qt.New(t)
+	server := openWeb(c, func(_ context.Context, call *calls.Call) (*calls.Reply, error) {
+		data, err := io.ReadAll(call.Body)
+		return &calls.Reply{Status: http.StatusOK, Body: calls.NewBuffered(data), Length: int64(len(data))}, err
+	})
+	client := openWeb(c, nil)
+	for _, body := range []string{"", "hello", string(make([]byte, 300<<10))} {
+		reply, err := client.Forward(context.Background(), server.Addr(), webCall(body))
+		c.Assert(err, qt.IsNil)
+		data, err := io.ReadAll(reply.Body)
+		c.Assert(err, qt.IsNil)
+		c.Check(len(data), qt.Equals, len(body))
+		c.Check(string(data) == body, qt.IsTrue)
+	}
+}
+
+// A long answer is passed on as it comes, after Forward has returned.
+func TestWebStreamsLongAnswers(t *testing.T) {
+	c := qt.New(t)
+	const length = 3 << 20
+	server := openWeb(c, func(context.Context, *calls.Call) (*calls.Reply, error) {
+		return &calls.Reply{Status: http.StatusOK, Body: calls.NewBuffered(make([]byte, length)), Length: length}, nil
+	})
+	reply, err := openWeb(c, nil).Forward(context.Background(), server.Addr(), webCall(""))
+	c.Assert(err, qt.IsNil)
+	data, err := io.ReadAll(reply.Body)
+	c.Assert(err, qt.IsNil)
+	c.Check(data, qt.HasLen, length)
+	c.Check(reply.Body.Close(), qt.IsNil)
+}
+
+// A peer that stands still accepts connections and bytes, but has not run what was
+// never sent to it.
+func TestWebPeerThatStandsStill(t *testing.T) {
+	c := qt.New(t)
+	still, err := net.Listen("tcp4", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = still.Close() }()
+	client := openWeb(c, nil)
+	for range 2 {
+		_, err = client.Forward(context.Background(), still.Addr().String(), webCall("hello"))
+		e := calls.AsError(err)
+		c.Check(e.Outcome(), qt.Equals, calls.NotRun)
+		c.Check(e.Reason(), qt.Equals, calls.ReasonPeerDown)
+	}
+}
+
+// A peer that ends after it has read the call may have run it.
+func TestWebPeerThatEndsWithTheCall(t *testing.T) {
+	c := qt.New(t)
+	server := openWeb(c, func(context.Context, *calls.Call) (*calls.Reply, error) { panic(http.ErrAbortHandler) })
+	_, err := openWeb(c, nil).Forward(context.Background(), server.Addr(), webCall("hello"))
+	c.Check(calls.AsError(err).Outcome(), qt.Equals, calls.Unknown)
+}
--- a/plan/balance.go
+++ b/plan/balance.go
@@ -14,11 +14,19 @@
 	// slack is how far the utilization of an owner may lie above the fleet's
 	// before keys are moved, as a part of its capacity.
 	slack = 0.10
+	// busyLoad is the utilization below which no keys are moved: a call hardly waits
+	// there, while a move leaves its keys without upstream for up to a second.
+	busyLoad = 0.70
 	// noiseFactor is how many standard deviations of a rate, measured over about a
 	// second, an excess must have to be more than chance.
 	noiseFactor = 1.5
 	// leastRate is the least rate, in calls per second, that is worth a move.
 	leastRate = 2.0
+	// takePart is the part of the room of a taker that one giver may fill: others
+	// may give at the same time.
+	takePart = 0.5
+	// maxTakers is the number of members among which an excess is divided.
+	maxTakers = 4
 	// maxRows is the number of ranges of one member beyond which nothing is cut
 	// out of them: the answer to a heartbeat has room for some eighty.
 	maxRows = 48
@@ -72,10 +80,9 @@
 	return members
 }
 
-// Moves returns the ranges that the member self should give away now, to whom.
-// Every member reckons with the same loads, so an owner's excess is spread over
-// the members with room in proportion, and several owners do not fill the same
-// one.
+// Moves returns the ranges that the member self should give away now, to whom: its
+// excess, in a few parts. Each taker is filled in part only, and members that give
+// at the same time begin with different takers.
 func Moves(self ident.Host, rows []atlas.Row, heat *Heat, members []Member) []Piece {
 	i := slices.IndexFunc(members, func(m Member) bool { return m.Host == self })
 	if i < 0 || len(members) < 2 {
@@ -89,35 +96,27 @@
 	if room <= 0 || offered <= 0 {
 		return nil
 	}
-	level := offered / room
+	level := max(offered/room, busyLoad)
 	excess := members[i].Offered - members[i].room()*level
 	noise := noiseFactor * math.Sqrt(members[i].Offered)
 	if excess < max(leastRate, slack*members[i].room(), noise) {
 		return nil
 	}
 	var takers []Member
-	lack, surplus := 0.0, 0.0
 	for _, m := range members {
-		gap := m.room()*level - m.Offered
-		if gap > 0 && m.Rows < maxRows {
+		if (m.room()*level-m.Offered)*takePart >= leastRate && m.Rows < maxRows {
 			takers = append(takers, m)
-			lack += gap
 		}
-		if gap < 0 {
-			surplus -= gap
-		}
-	}
-	if lack <= 0 {
-		return nil
 	}
 	slices.SortFunc(takers, func(a, b Member) int {
 		return cmp.Compare(b.room()*level-b.Offered, a.room()*level-a.Offered)
 	})
 	var pieces []Piece
 	left := slices.Clone(rows)
-	for _, taker := range takers {
-		gap := taker.room()*level - taker.Offered
-		amount := min(gap*excess/max(surplus, excess), excess)
+	part := max(excess/maxTakers, 2*leastRate)
+	for k := range takers {
+		taker := takers[(i+k)%len(takers)]
+		amount := min((taker.room()*level-taker.Offered)*takePart, part, excess)
 		if amount < leastRate {
 			continue
 		}
@@ -125,6 +124,7 @@
 		given, left = give(left, heat, amount)
 		for _, s := range given {
 			pieces = append(pieces, Piece{Span: s, To: taker.Host})
+			excess -= heat.Rate(s)
 		}
 	}
 	return pieces
--- a/plan/plan_test.go
+++ b/plan/plan_test.go
@@ -298,3 +298,52 @@
 		}
 	}
 }
+
+// A member that is busier than the others, but not so busy that calls wait, keeps
+// its keys: a move would cost its callers more than it gives them.
+func TestNothingMovesWhileCallsDoNotWait(t *testing.T) {
+	c := qt.New(t)
+	now := time.Date(2026, 1, 3, 15, 0, 0, 0, time.UTC)
+	heat := plan.NewHeat()
+	heat.Touch(0)
+	heat.Tick(now)
+	for i := range uint32(800) {
+		heat.Touch(i % 80)
+	}
+	heat.Tick(now.Add(4 * time.Second))
+	rows := []atlas.Row{{Span: atlas.NewSpan(0, 9999)}}
+	members := func(offered float64) []plan.Member {
+		return []plan.Member{
+			{Host: "a", Offered: offered, Capacity: 100, Slots: 10, Rows: 1},
+			{Host: "b", Offered: 10, Capacity: 100, Slots: 10, Rows: 1},
+		}
+	}
+	c.Check(plan.Moves("a", rows, heat, members(70)), qt.HasLen, 0)
+	c.Check(len(plan.Moves("a", rows, heat, members(110))) > 0, qt.IsTrue)
+}
+
+// A member gives away its excess and no more, also where many others have room.
+func TestMovesGiveTheExcess(t *testing.T) {
+	const excess = 35.0
+	c := qt.New(t)
+	now := time.Date(2026, 1, 3, 15, 0, 0, 0, time.UTC)
+	heat := plan.NewHeat()
+	heat.Touch(0)
+	heat.Tick(now)
+	for i := range uint32(3200) {
+		heat.Touch(i % 800)
+	}
+	heat.Tick(now.Add(4 * time.Second))
+	members := []plan.Member{{Host: "a", Offered: 110, Capacity: 100, Slots: 10, Rows: 1}}
+	for i := range 20 {
+		members = append(members, plan.Member{Host: ident.Host(fmt.Sprint("b", i)), Offered: 30, Capacity: 100, Slots: 10, Rows: 1})
+	}
+	rate := 0.0
+	takers := make(map[ident.Host]bool)
+	for _, piece := range plan.Moves("a", []atlas.Row{{Span: atlas.NewSpan(0, 9999)}}, heat, members) {
+		rate += heat.Rate(piece.Span)
+		takers[piece.To] = true
+	}
+	c.Check(rate > excess*0.6 && rate < excess*1.2, qt.IsTrue, qt.Commentf("%.1f calls a second given", rate))
+	c.Check(len(takers) <= 5, qt.IsTrue, qt.Commentf("%d takers", len(takers)))
+}
