Hand the ranges of an idle fleet to few; show the walk's fleet who stops

Cause: the test's fleet showed daemons that stop as ready, so they were given keys that they gave away again. What it showed of the product: where no calls are known, a leaving member divided its ranges among all others, and each cut is for good: 16 ranges became 96 after ten departures of an idle fleet. It takes two takers now.

--- a/owner/propose.go
+++ b/owner/propose.go
@@ -332,6 +332,10 @@
 	if heat.Total() <= 0 || !others {
 		heat = m.fleet
 		load = m.estimate(spans)
+		if others && math.IsInf(load, 1) {
+			// Keys that nobody has called yet burden few.
+			load = 0
+		}
 	}
 	return plan.Divide(spans, heat, plan.Choose(shares, load, m.rng))
 }
--- a/owner/scribe_test.go
+++ b/owner/scribe_test.go
@@ -21,7 +21,7 @@
 	}
 	w.races = 0
 	for i := 0; i < len(w.daemons); i += 2 {
-		w.daemons[i].machine.Stop(w.now)
+		w.stop(w.daemons[i])
 	}
 	without := make(map[atlas.Point]time.Duration)
 	for end := w.now.Add(5 * time.Second); w.now.Before(end); {
@@ -93,3 +93,26 @@
 	member, _ := a.Proposal.Owner(row.Span.From)
 	c.Check(member.Inc.Host, qt.Equals, taker)
 }
+
+// Members that leave a fleet without calls, one after the other, hand their ranges
+// to few others: each cut makes the table longer for good.
+func TestIdleDeparturesKeepRangesWhole(t *testing.T) {
+	const size, leaving = 16, 10
+	c := qt.New(t)
+	w := newWorld(3, size, rules{})
+	w.lossless = true
+	for w.now.Sub(epoch) < 6*time.Second {
+		w.play()
+	}
+	before := len(w.newest.Rows())
+	for _, d := range w.daemons[:leaving] {
+		w.stop(d)
+		for end := w.now.Add(2 * time.Second); w.now.Before(end); {
+			w.play()
+		}
+	}
+	c.Assert(w.newest.Members(), qt.HasLen, size-leaving)
+	c.Check(w.held(), qt.Equals, len(probes))
+	// Two takers for each, so that one cut is added at most.
+	c.Check(len(w.newest.Rows()) <= before+leaving, qt.IsTrue, qt.Commentf("%d rows, %d before", len(w.newest.Rows()), before))
+}
--- a/owner/world_test.go
+++ b/owner/world_test.go
@@ -67,8 +67,10 @@
 	witness *lease.Witness
 	up      bool
 	back    time.Time
-	// ends is when a daemon that gives its keys away ends.
+	// ends is when a daemon that gives its keys away ends; stopping is set until
+	// then.
 	ends     time.Time
+	stopping bool
 	frozen   time.Time
 	cut      time.Time
 	noStore  time.Time
@@ -142,10 +144,16 @@
 		witnessTerms.Length = 0
 	}
 	d.witness = lease.NewWitness(self, witnessTerms, w.now)
-	d.up, d.inbox, d.writing = true, nil, nil
+	d.up, d.stopping, d.inbox, d.writing = true, false, nil, nil
 	d.reading = w.now.Add(w.delay(100))
 }
 
+// stop lets a daemon give its keys away, and tells the others.
+func (w *world) stop(d *daemon) {
+	d.machine.Stop(w.now)
+	d.stopping = true
+}
+
 func (w *world) startUpstream(d *daemon) {
 	*d.upstream = upstream{life: w.now.UnixMilli(), up: true, next: w.now.Add(w.delay(200)), highest: make(map[atlas.Span]atlas.Fence)}
 }
@@ -186,6 +194,9 @@
 			if leaving {
 				e.Condition = gossip.Draining
 			}
+			if o.stopping {
+				e.Condition = gossip.Stopping
+			}
 		}
 		entries = append(entries, e)
 	}
@@ -450,7 +461,7 @@
 	case 8:
 		d.machine.Depart()
 	case 9:
-		d.machine.Stop(w.now)
+		w.stop(d)
 		d.ends = long
 	}
 }
