Remember an upstream's word that it ends though the daemon has just started

Change: the desk keeps the word for a minute, by id; a life that began later under the same id is not meant.

--- a/mesh/desk.go
+++ b/mesh/desk.go
@@ -22,6 +22,10 @@
 	// probeTime bounds the opening of a connection to see whether anything
 	// listens at the upstream's address.
 	probeTime = 300 * time.Millisecond
+	// partedTime is how long the word of an unknown upstream that it ends is kept: it
+	// may serve on for many seconds. maxParted is the number of such upstreams.
+	partedTime = time.Minute
+	maxParted  = 64
 )
 
 // Heartbeat is what an upstream says of itself, keys included.
@@ -51,9 +55,34 @@
 	slots  int
 	// waiting is the heartbeat whose answer is held back.
 	waiting chan struct{}
+	// parted is when each upstream said that it ends that was not known then: this
+	// daemon had just started, and the upstream may still send heartbeats.
+	parted map[string]time.Time
 }
 
-func newDesk(hold time.Duration) desk { return desk{hold: hold} }
+func newDesk(hold time.Duration) desk { return desk{hold: hold, parted: make(map[string]time.Time)} }
+
+// part takes the word of an unknown upstream that it ends.
+func (d *desk) part(now time.Time, id string) {
+	for other, at := range d.parted {
+		if now.Sub(at) > partedTime {
+			delete(d.parted, other)
+		}
+	}
+	if len(d.parted) < maxParted {
+		d.parted[id] = now
+	}
+}
+
+// begin starts a life of the upstream. One that said before that it ends still
+// leaves; a later life under the same id does not.
+func (d *desk) begin(now time.Time, hb Heartbeat) {
+	*d = desk{hold: d.hold, life: hb.Life, id: hb.ID, parted: d.parted}
+	at, ok := d.parted[hb.ID]
+	if ok && now.Sub(at) <= partedTime && hb.Life <= at.UnixMilli() {
+		d.leaving, d.departed, d.left = true, true, at
+	}
+}
 
 // cold returns how much longer the upstream is slow.
 func (d *desk) cold(now time.Time) time.Duration { return max(0, d.warmAt.Sub(now)) }
@@ -66,7 +95,7 @@
 		return false, false
 	case hb.Life > d.life || hb.ID != d.id:
 		begun = true
-		*d = desk{hold: d.hold, life: hb.Life, id: hb.ID}
+		d.begin(now, hb)
 	case hb.Number <= d.number:
 		return false, false
 	}
@@ -104,6 +133,9 @@
 	changed := begun || n.desk.slots != n.gateSlots() || hb.Leaving
 	if n.machine != nil {
 		n.machine.Heartbeat(now, hb.Heartbeat)
+		if n.desk.departed {
+			n.machine.Depart()
+		}
 	}
 	wait := n.prepareWait(now)
 	n.notify()
@@ -185,6 +217,9 @@
 	now := n.clock.Now()
 	n.mu.Lock()
 	known := n.desk.id == id
+	if !known {
+		n.desk.part(now, id)
+	}
 	if known && !n.desk.departed {
 		if !n.desk.leaving {
 			n.desk.left = now
--- a/mesh/fleet_test.go
+++ b/mesh/fleet_test.go
@@ -96,6 +96,12 @@
 }
 
 func (h *host) start(c *qt.C) {
+	h.startBeside(c, time.Now().UnixMilli(), func(*mesh.Node) {})
+}
+
+// startBeside starts the daemon beside an upstream that began its life before. What
+// comes first is done before the first heartbeat.
+func (h *host) startBeside(c *qt.C, life int64, first func(node *mesh.Node)) {
 	node, err := mesh.New(mesh.Settings{
 		Host: h.name, Zone: "z", Service: h.service, Upstream: h.upstream.Listener.Addr().String(), Peers: h.peers,
 		Interval: interval, MaxHold: 10 * time.Second, Drain: time.Second,
@@ -106,7 +112,8 @@
 	h.mu.Lock()
 	h.node, h.stop = node, cancel
 	h.mu.Unlock()
-	go h.beat(ctx, node, time.Now().UnixMilli())
+	first(node)
+	go h.beat(ctx, node, life)
 }
 
 func (h *host) close() {
@@ -300,3 +307,33 @@
 	time.Sleep(length)
 	t.Logf("%d daemons made %d store calls in %v", n+n/2, mem.Calls()-before, length)
 }
+
+// An upstream says that it ends to a daemon that has just started and does not know
+// it yet, and sends heartbeats on. It gets no more calls once the others know.
+func TestUnknownUpstreamThatLeaves(t *testing.T) {
+	c := qt.New(t)
+	_, hosts := fleet(c, 3, 2)
+	leaving, other := hosts[3], hosts[4]
+	began := time.Now().Add(-time.Minute).UnixMilli()
+	leaving.stop()
+	c.Assert(leaving.node.Close(), qt.IsNil)
+	leaving.startBeside(c, began, func(node *mesh.Node) { node.Leave(string(leaving.name)) })
+	eventually(c, func() bool {
+		// The daemon knows the configuration, and its upstream's heartbeats come.
+		_, err := leaving.node.Run(context.Background(), newCall(plain, 0))
+		return err == nil
+	})
+	time.Sleep(time.Second)
+	ran := func(h *host) int {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		return h.ran
+	}
+	before, served := ran(leaving), ran(other)
+	for i := range 40 {
+		_, err := hosts[i%len(hosts)].node.Run(context.Background(), newCall(plain, 0))
+		c.Assert(err, qt.IsNil)
+	}
+	c.Check(ran(leaving), qt.Equals, before)
+	c.Check(ran(other), qt.Equals, served+40)
+}
