--- a/core/drain.go
+++ b/core/drain.go
@@ -172,6 +172,14 @@
 	}}}
 }
 
+// part notes where a pin of this member comes from.
+func (m *Machine) part(p *table.Pin) {
+	if m.moves.parted == nil {
+		m.moves.parted = make(map[ident.Slot]parting)
+	}
+	m.moves.parted[p.Slot] = parting{base: p.Base, epoch: p.Replaces + 1}
+}
+
 // maxPinOrders bounds the pins that wait for their record.
 const maxPinOrders = 16
 
--- a/core/move.go
+++ b/core/move.go
@@ -28,9 +28,17 @@
 	away  bool
 	since time.Time
 	pins  []PinOrder
+	// parted holds the pins that this member has parted from slots of its own.
+	parted map[ident.Slot]parting
 	leave uint64
 }
 
+// parting is where a pin comes from, and its first epoch.
+type parting struct {
+	base  ident.Slot
+	epoch ident.Epoch
+}
+
 // moveOrder stops slots that are to go to another member.
 func (m *Machine) moveOrder(in MoveOrder) {
 	if in.Service != m.self.Service || in.To == m.self.Inc || !m.isReady(in.To) {
--- a/core/number.go
+++ b/core/number.go
@@ -114,6 +114,9 @@
 	case table.KindPin:
 		m.emit(events.Event{Kind: events.KindPin, Service: rec.Pin.Service,
 			First: rec.Pin.Slot, Last: rec.Pin.Slot, Note: res.Reason.String()})
+		if res.Applied {
+			m.part(rec.Pin)
+		}
 		if res.Reason == table.ReasonExists {
 			m.pinOrder(PinOrder{Service: rec.Pin.Service, Hash: rec.Pin.Hash})
 		}
--- a/core/publish.go
+++ b/core/publish.go
@@ -67,7 +67,11 @@
 	for _, n := range m.held() {
 		epoch, _ := m.holding(n)
 		if _, stopped := marks.stopped[n]; !stopped {
-			list = append(list, Holding{Shard: m.shard(n), Epoch: epoch})
+			h := Holding{Shard: m.shard(n), Epoch: epoch}
+			if p, ok := m.moves.parted[n]; ok && p.epoch == epoch {
+				h.Base = m.shard(p.base)
+			}
+			list = append(list, h)
 		}
 	}
 	return slices.Clip(list)
--- a/core/scene_test.go
+++ b/core/scene_test.go
@@ -288,6 +288,7 @@
 	}
 	_, ok := w.Host(i).Serves(sceneSlots)
 	c.Assert(ok, qt.IsTrue)
+	c.Assert(baseOf(w.Host(i), sceneSlots), qt.Equals, ident.Slot(5))
 	w.Host(i).Kill()
 	c.Assert(w.RunUntil(4*time.Second, func() bool { return len(w.Owners(sceneSlots)) == 1 }), qt.IsTrue)
 }
@@ -343,3 +344,13 @@
 	c.Assert(w.Served(), qt.Equals, 0)
 	c.Assert(w.Count().Halts, qt.Equals, 0)
 }
+
+// baseOf returns the slot that a host says a pin was parted from.
+func baseOf(h *model.Host, pin ident.Slot) ident.Slot {
+	for _, held := range h.Machine().View().Served() {
+		if held.Shard.Slot == pin {
+			return held.Base.Slot
+		}
+	}
+	return 0
+}
--- a/core/view.go
+++ b/core/view.go
@@ -108,4 +108,7 @@
 type Holding struct {
 	Shard ident.Shard
 	Epoch ident.Epoch
+	// Base is the shard that a pinned key of this member was parted from, while no
+	// other member has owned the pin; the zero shard otherwise.
+	Base ident.Shard
 }
--- a/journl/claim.go
+++ b/journl/claim.go
@@ -41,32 +41,33 @@
 // Done records the answer. Whole reports that body is all of it; a longer one
 // is not kept.
 func (c *Claim) Done(status int, kind string, body []byte, whole bool) {
-	c.end(func(e *entry) {
+	c.end(func(log *shardLog, e *entry) {
 		e.state, e.status = stateDone, status
 		if whole && len(body) <= MaxStored {
 			e.whole, e.body, e.kind = true, body, kind
-			c.log.grow(e.size())
+			log.grow(e.size())
 		}
 	})
 }
 
 // Lost records that the request may have run.
 func (c *Claim) Lost() {
-	c.end(func(e *entry) { e.state = stateUnknown })
+	c.end(func(_ *shardLog, e *entry) { e.state = stateUnknown })
 }
 
 // Forget frees the key: it is proved that the request did not run.
 func (c *Claim) Forget() {
 	j := c.journal
-	if !c.end(func(e *entry) { c.log.remove(e) }) || !c.replicated {
+	if !c.end((*shardLog).remove) || !c.replicated {
 		return
 	}
 	gone := wire.Entry{Key: c.entry.id, Request: c.entry.fingerprint, State: stateGone}
 	j.replicator.Update(c.shard, c.epoch, []wire.Entry{gone})
 }
 
-// end changes the entry once, unless it was evicted meanwhile.
-func (c *Claim) end(change func(*entry)) bool {
+// end changes the entry and its twins once, those that were not evicted
+// meanwhile.
+func (c *Claim) end(change func(*shardLog, *entry)) bool {
 	j := c.journal
 	j.mu.Lock()
 	defer j.mu.Unlock()
@@ -74,9 +75,11 @@
 		return false
 	}
 	c.ended = true
-	if c.log.entries[c.entry.id] == c.entry {
-		change(c.entry)
-		j.bound(c.log)
+	for log, e := c.log, c.entry; e != nil; log, e = e.twinLog, e.twin {
+		if log.entries[e.id] == e {
+			change(log, e)
+			j.bound(log)
+		}
 	}
 	return true
 }
--- a/journl/doc.go
+++ b/journl/doc.go
@@ -53,6 +53,12 @@
 // saves one round trip a request, and a request may run twice when the owner
 // alone is lost before the copy has arrived.
 //
+// # Pins
+//
+// A pin parts one key from its shard without moving it. The pin's log begins as a
+// copy of the shard's, since entries do not say which key they are of; a request
+// that runs meanwhile ends in both.
+//
 // # Requests without a key
 //
 // A non-idempotent request without a key is not journaled. It is sent to an
--- a/journl/entry.go
+++ b/journl/entry.go
@@ -56,6 +56,10 @@
 	kind        string
 	// whole reports that body is the whole answer.
 	whole bool
+	// twin is the copy, in twinLog, of an entry whose shard was parted while its
+	// request ran.
+	twin    *entry
+	twinLog *shardLog
 }
 
 // size is the entry's part in the byte bound.
--- a/journl/journal.go
+++ b/journl/journal.go
@@ -235,6 +235,9 @@
 	served := make(map[ident.Shard]bool, len(holdings))
 	for _, h := range holdings {
 		served[h.Shard] = true
+		if h.Base != (ident.Shard{}) {
+			j.part(h)
+		}
 		j.own(h.Shard, h.Epoch, now).epoch = h.Epoch
 	}
 	for shard, log := range j.shards {
@@ -244,6 +247,29 @@
 	}
 }
 
+// part begins the log of a shard that was parted from another one of this member
+// with a copy of that one's log: it does not say which keys its entries are of.
+func (j *Journal) part(h Holding) {
+	base := j.shards[h.Base]
+	if j.shards[h.Shard] != nil || base == nil || !base.owned {
+		return
+	}
+	log := newShardLog(&j.sum, base.floor)
+	log.owned = true
+	for _, e := range base.order[base.head:] {
+		if base.entries[e.id] != e {
+			continue
+		}
+		twin := *e
+		if e.state == stateRunning {
+			e.twin, e.twinLog = &twin, log
+		}
+		log.add(&twin)
+	}
+	j.shards[h.Shard] = log
+	j.bound(log)
+}
+
 // Sweep expires entries and forgets logs that nothing has used for a while.
 func (j *Journal) Sweep() {
 	j.mu.Lock()
