Keep calls that crash upstreams from further ones in a fleet with a store

Cause: a call that crashes each upstream that runs it was sent on for ever; the quarantine existed in the standalone daemon only.

Ruled out: the standalone rule with turns, since a crash makes up to 18 innocent calls suspects that would run one after the other.

Change: poison.WithEnough condemns what was at three crashes and was not answered between; a daemon notes the calls at its upstream when that refuses connections or begins another life, and tells the daemons of its service, also when one is cleared. An upstream that has said that it leaves does not crash.

--- a/core/move.go
+++ b/core/move.go
@@ -30,7 +30,7 @@
 	pins  []PinOrder
 	// parted holds the pins that this member has parted from slots of its own.
 	parted map[ident.Slot]parting
-	leave uint64
+	leave  uint64
 }
 
 // parting is where a pin comes from, and its first epoch.
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -6,6 +6,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/monsoonmoor/monsoonmoor/ident"
+	"github.com/monsoonmoor/monsoonmoor/wire"
 )
 
 // MaxMessage is the largest encoded message in bytes.
@@ -33,6 +34,8 @@
 	Urgent  bool     `cbor:"9,keyasint,omitempty"`
 	// Request asks the receiver to write changes of the ownership table.
 	Request *Request `cbor:"11,keyasint,omitempty"`
+	// Suspects are requests that were in flight when upstreams crashed.
+	Suspects *wire.Suspects `cbor:"12,keyasint,omitempty"`
 }
 
 // Request is what a member wants written into the ownership table. It counts only
--- /dev/null
+++ b/mesh/crash_test.go
@@ -0,0 +1,96 @@
+package mesh_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/monsoonmoor/monsoonmoor/calls"
+)
+
+// deadly is the path of a call that crashes each upstream that runs it.
+const deadly = "/deadly"
+
+// downTime is how long a crashed upstream stays away.
+const downTime = 300 * time.Millisecond
+
+// crashes wraps a host's upstream: it ends at once when it runs the deadly call,
+// and begins another life at the same address a little later.
+type crashes struct {
+	c    *qt.C
+	host *host
+	ran  *atomic.Int32
+}
+
+func (x crashes) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != deadly {
+		x.host.ServeHTTP(w, r)
+		return
+	}
+	x.ran.Add(1)
+	go x.crash()
+	<-r.Context().Done()
+	panic(http.ErrAbortHandler)
+}
+
+func (x crashes) crash() {
+	h := x.host
+	addr := h.upstream.Listener.Addr().String()
+	h.stop()
+	_ = h.upstream.Listener.Close()
+	h.upstream.CloseClientConnections()
+	time.Sleep(downTime)
+	l, err := net.Listen("tcp4", addr)
+	if err != nil {
+		x.c.Errorf("listen again: %v", err)
+		return
+	}
+	server := &httptest.Server{Listener: l, Config: &http.Server{Handler: x}}
+	server.Start()
+	ctx, cancel := context.WithCancel(context.Background())
+	h.mu.Lock()
+	h.upstream, h.stop = server, cancel
+	h.mu.Unlock()
+	go h.beat(ctx, h.node, time.Now().UnixMilli())
+}
+
+// TestCallThatCrashesUpstreams sends a call again and again that crashes each
+// upstream that runs it, among others: it is kept from the upstreams after the third
+// crash, and the others are served.
+func TestCallThatCrashesUpstreams(t *testing.T) {
+	c := qt.New(t)
+	var ran atomic.Int32
+	_, hosts := fleet(c, 3, 3)
+	media := hosts[3:]
+	for _, h := range media {
+		h.upstream.Config.Handler = crashes{c: c, host: h, ran: &ran}
+	}
+	send := func(i int) error {
+		call := newCall(plain, 0)
+		call.Path, call.Terms.Attempts = deadly, 1
+		_, err := hosts[i%len(hosts)].node.Run(context.Background(), call)
+		return err
+	}
+	quarantined := 0
+	for i := 0; quarantined < 5 && i < 60; i++ {
+		if err := send(i); err != nil && calls.AsError(err).Reason() == calls.ReasonQuarantine {
+			quarantined++
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	c.Check(quarantined, qt.Equals, 5)
+	c.Check(ran.Load() <= 4, qt.IsTrue, qt.Commentf("%d upstreams crashed", ran.Load()))
+	before := ran.Load()
+	for i := range 2 * len(hosts) {
+		c.Check(calls.AsError(send(i)).Reason(), qt.Equals, calls.ReasonQuarantine)
+		_, err := hosts[i%len(hosts)].node.Run(context.Background(), newCall(plain, 0))
+		c.Check(err, qt.IsNil)
+	}
+	c.Check(ran.Load(), qt.Equals, before)
+}
--- a/mesh/desk.go
+++ b/mesh/desk.go
@@ -123,6 +123,7 @@
 func (n *Node) Heartbeat(ctx context.Context, hb Heartbeat) owner.Grant {
 	now := n.clock.Now()
 	n.mu.Lock()
+	before, ending := n.desk.id, n.desk.leaving
 	newest, begun := n.desk.take(now, hb)
 	if !newest {
 		n.mu.Unlock()
@@ -140,6 +141,9 @@
 	wait := n.prepareWait(now)
 	n.notify()
 	n.mu.Unlock()
+	if begun && !ending {
+		n.crashed(before)
+	}
 	if changed {
 		n.upstreamChanged(hb, begun, left.Equal(now))
 	}
@@ -242,7 +246,7 @@
 func (n *Node) upstreamDown(sure bool) {
 	now := n.clock.Now()
 	n.mu.Lock()
-	was := n.desk.present
+	was, id, ending := n.desk.present, n.desk.id, n.desk.leaving
 	if sure {
 		n.desk.present = false
 	}
@@ -252,9 +256,12 @@
 	n.notify()
 	n.mu.Unlock()
 	if was && sure {
-		n.log.Info("upstream lost", "id", n.desk.id, "refused", sure)
+		n.log.Info("upstream lost", "id", id, "refused", sure)
 		n.shout()
 		n.kick()
+		if !ending {
+			n.crashed(id)
+		}
 	}
 }
 
--- a/mesh/fleet.go
+++ b/mesh/fleet.go
@@ -90,6 +90,9 @@
 	if m.Request != nil {
 		n.takeRequest(now, *m.Request)
 	}
+	if m.Suspects != nil {
+		n.quarantine.Merge(m.Suspects)
+	}
 	if m.Changed != nil {
 		n.hear(now, m.From.Host, *m.Changed, m.Urgent)
 	}
--- a/mesh/local.go
+++ b/mesh/local.go
@@ -57,7 +57,7 @@
 			ticket.Cancel()
 			continue
 		}
-		reply, err := n.pool.Run(ctx, call, instance)
+		reply, err := n.fly(ctx, call, instance)
 		ticket.Done(resultOf(reply, err))
 		return reply, err
 	}
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -19,6 +19,7 @@
 	"github.com/monsoonmoor/monsoonmoor/owner"
 	"github.com/monsoonmoor/monsoonmoor/peers"
 	"github.com/monsoonmoor/monsoonmoor/plan"
+	"github.com/monsoonmoor/monsoonmoor/poison"
 	"github.com/monsoonmoor/monsoonmoor/sched"
 	"github.com/monsoonmoor/monsoonmoor/steer"
 	"github.com/monsoonmoor/monsoonmoor/store"
@@ -54,6 +55,9 @@
 	fleet  *plan.Heat
 	waits  *waits
 	given  *allowances
+	// flights and quarantine find the calls that crash upstreams.
+	flights    *flights
+	quarantine *poison.Quarantine
 
 	// mu guards what the daemon believes of the fleet, the leases and the keys.
 	mu       sync.Mutex
@@ -126,6 +130,7 @@
 		upconn.WithScope(n.scope), upconn.WithDown(n.upstreamDown))
 	n.budget = steer.NewBudget(s.RetryRatio, s.RetrySlack, s.RetryWindow)
 	n.desk = newDesk(s.answerHold())
+	n.flights, n.quarantine = newFlights(), newQuarantine(n)
 }
 
 // seed adds addresses where other daemons may be.
--- a/poison/doc.go
+++ b/poison/doc.go
@@ -17,5 +17,9 @@
 //	}
 //	defer pass.Leave(poison.Completed)
 //
+// Where suspects must not wait for each other, WithEnough replaces the turns: a
+// request is then refused once it was present at that many crashes and was not
+// answered between them.
+//
 // Reports of peers come in by Merge, those for peers go out by Report.
 package poison
--- a/poison/quarantine.go
+++ b/poison/quarantine.go
@@ -28,6 +28,8 @@
 	maxReport = 1024
 	// condemnAt is the number of crashes after which a request is refused.
 	condemnAt = 2
+	// maxAbout bounds the entries in a report about some fingerprints: one datagram.
+	maxAbout = 64
 	// liftedTime is how long a lifted entry is remembered, so that a late
 	// report of a peer does not restore it.
 	liftedTime = time.Minute
@@ -59,6 +61,8 @@
 	alone   bool
 	lifted  bool
 	expires time.Time
+	// again is set when the entry began anew after the one before was lifted.
+	again bool
 }
 
 // condemned reports whether the request is refused.
@@ -75,6 +79,9 @@
 	sink   events.Sink
 	expiry time.Duration
 	max    int
+	// enough is the number of crashes that condemn a request that was not answered
+	// between them, whoever else was there; zero to tell by taking turns.
+	enough int
 
 	mu       sync.Mutex
 	suspects map[subject]*suspect
@@ -105,6 +112,11 @@
 // WithMax bounds the number of suspects.
 func WithMax(n int) Option { return func(q *Quarantine) { q.max = n } }
 
+// WithEnough lets suspects run side by side, and condemns the request that was
+// present at so many crashes and never answered between them. Taking turns finds it
+// a crash earlier, at the price of the innocent that wait for theirs.
+func WithEnough(crashes int) Option { return func(q *Quarantine) { q.enough = crashes } }
+
 // New returns an empty quarantine.
 func New(opts ...Option) *Quarantine {
 	q := &Quarantine{
@@ -141,7 +153,7 @@
 	if err != nil {
 		return Pass{}, err
 	}
-	if !suspected {
+	if !suspected || q.enough > 0 {
 		return Pass{q: q, about: about}, nil
 	}
 	select {
@@ -168,27 +180,31 @@
 	return s != nil && !s.lifted, nil
 }
 
-// Leave ends the stay.
-func (p Pass) Leave(end End) {
+// Leave ends the stay, and reports whether that has cleared a suspect.
+func (p Pass) Leave(end End) (cleared bool) {
 	if p.q == nil {
-		return
+		return false
 	}
 	if end == Completed {
-		p.q.clear(p.about)
+		cleared = p.q.clear(p.about)
 	}
 	if p.turn {
 		<-p.q.turn
 	}
+	return cleared
 }
 
 // clear takes a suspect that was answered off the list.
-func (q *Quarantine) clear(about subject) {
+func (q *Quarantine) clear(about subject) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if s := q.find(about); s != nil && !s.lifted && !s.condemned() {
-		q.lift(s)
-		q.cleared.Inc(1)
+	s := q.find(about)
+	if s == nil || s.lifted || s.condemned() {
+		return false
 	}
+	q.lift(s)
+	q.cleared.Inc(1)
+	return true
 }
 
 // lift clears an entry and remembers that for a while.
@@ -212,7 +228,7 @@
 		}
 	}
 	for i, fingerprint := range running {
-		alone := len(running) == 1 || (known == 1 && before[i])
+		alone := q.enough == 0 && (len(running) == 1 || (known == 1 && before[i]))
 		q.suspect(subject{service: service, fingerprint: fingerprint}, crash, alone)
 	}
 }
@@ -229,13 +245,15 @@
 		if s != nil && slices.Contains(s.crashes, crash) {
 			return
 		}
+		again := s != nil
 		s = q.add(about)
+		s.again = again
 	}
 	was := s.condemned()
 	if !slices.Contains(s.crashes, crash) && len(s.crashes) < maxCrashes {
 		s.crashes = append(s.crashes, crash)
 	}
-	s.alone = s.alone || alone
+	s.alone = s.alone || alone || (q.enough > 0 && len(s.crashes) >= q.enough)
 	s.expires = q.clock.Now().Add(q.expiry)
 	if !was && s.condemned() {
 		q.condemned.Inc(1)
@@ -351,6 +369,43 @@
 	return &wire.Suspects{Items: items}
 }
 
+// About returns what peers should know of some fingerprints of a service, as far as
+// one message holds it; nil when there is nothing. An entry that began anew is
+// preceded by word that the one before was lifted.
+func (q *Quarantine) About(service ident.Service, fingerprints []uint64) *wire.Suspects {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := q.clock.Now()
+	var items []wire.Suspect
+	for _, fingerprint := range fingerprints {
+		about := subject{service: service, fingerprint: fingerprint}
+		s := q.find(about)
+		if s == nil || len(items)+2 > maxAbout {
+			continue
+		}
+		if s.again {
+			items = append(items, wire.Suspect{Service: service, Fingerprint: fingerprint, Left: liftedTime, Lifted: true})
+		}
+		items = append(items, item(about, s, s.expires.Sub(now)))
+	}
+	if len(items) == 0 {
+		return nil
+	}
+	return &wire.Suspects{Items: items}
+}
+
+// item returns an entry as peers and operators see it.
+func item(about subject, s *suspect, left time.Duration) wire.Suspect {
+	return wire.Suspect{
+		Service:     about.service,
+		Fingerprint: about.fingerprint,
+		Crashes:     slices.Clone(s.crashes),
+		Alone:       s.alone,
+		Left:        left,
+		Lifted:      s.lifted,
+	}
+}
+
 // List returns all entries, the condemned ones first.
 func (q *Quarantine) List() []wire.Suspect {
 	q.mu.Lock()
@@ -363,14 +418,7 @@
 			delete(q.suspects, about)
 			continue
 		}
-		items = append(items, wire.Suspect{
-			Service:     about.service,
-			Fingerprint: about.fingerprint,
-			Crashes:     slices.Clone(s.crashes),
-			Alone:       s.alone,
-			Left:        left,
-			Lifted:      s.lifted,
-		})
+		items = append(items, item(about, s, left))
 	}
 	slices.SortFunc(items, func(a, b wire.Suspect) int {
 		return cmp.Or(
--- a/poison/quarantine_test.go
+++ b/poison/quarantine_test.go
@@ -139,3 +139,61 @@
 	c.Assert(q.List(), qt.HasLen, 10)
 	c.Assert(enter(q, 1, poison.Lost), qt.IsFalse)
 }
+
+// TestEnoughCrashes condemns a request that was at three crashes of different
+// upstreams, whoever else was there, and none that was answered between.
+func TestEnoughCrashes(t *testing.T) {
+	c := qt.New(t)
+	clock := clockwork.NewFakeClock()
+	hosts := make([]*poison.Quarantine, 4)
+	for i := range hosts {
+		hosts[i] = poison.New(poison.WithClock(clock), poison.WithEnough(3))
+	}
+	tell := func(from int, fingerprints ...uint64) {
+		for i, q := range hosts {
+			if i != from {
+				q.Merge(hosts[from].About(service, fingerprints))
+			}
+		}
+	}
+	const culprit, often = 1, 2
+	for i := range 3 {
+		for _, q := range hosts {
+			_, err := q.Enter(t.Context(), service, culprit)
+			c.Assert(err, qt.IsNil, qt.Commentf("crash %d", i))
+		}
+		others := []uint64{culprit, often, uint64(10 + i), uint64(20 + i)}
+		hosts[i].Crash(service, uint64(100+i), others)
+		tell(i, others...)
+		// Another upstream answers the request that many callers make.
+		pass, err := hosts[3].Enter(t.Context(), service, often)
+		c.Assert(err, qt.IsNil)
+		c.Assert(pass.Leave(poison.Completed), qt.IsTrue)
+		tell(3, often)
+	}
+	for i, q := range hosts {
+		_, err := q.Enter(t.Context(), service, culprit)
+		c.Check(calls.AsError(err).Reason(), qt.Equals, calls.ReasonQuarantine, qt.Commentf("host %d", i))
+		for _, innocent := range []uint64{often, 10, 21} {
+			pass, err := q.Enter(t.Context(), service, innocent)
+			c.Check(err, qt.IsNil)
+			pass.Leave(poison.Completed)
+		}
+	}
+}
+
+// TestLiftTravelsWithTheNextCrash loses the word that a request was answered: the
+// next report says it again.
+func TestLiftTravelsWithTheNextCrash(t *testing.T) {
+	c := qt.New(t)
+	here, there := poison.New(poison.WithEnough(2)), poison.New(poison.WithEnough(2))
+	here.Crash(service, 1, []uint64{7, 8})
+	there.Merge(here.About(service, []uint64{7, 8}))
+	pass, err := here.Enter(t.Context(), service, 7)
+	c.Assert(err, qt.IsNil)
+	c.Assert(pass.Leave(poison.Completed), qt.IsTrue)
+	here.Crash(service, 2, []uint64{7, 9})
+	there.Merge(here.About(service, []uint64{7, 9}))
+	_, err = there.Enter(t.Context(), service, 7)
+	c.Assert(err, qt.IsNil)
+}
