Look at the upstream at once when a call to it was lost

Cause: a crash showed with the next call that found the connection refused, or with the next life's first heartbeat; on a quiet upstream that is late, and the call that crashes upstreams ran at five of them (TestCallThatCrashesUpstreams, three of four runs without the race detector, which had hidden it).

Change: a lost call asks the duty that watches the upstream for a look, at most each 250 ms.

--- a/mesh/crashes.go
+++ b/mesh/crashes.go
@@ -42,6 +42,9 @@
 		}
 	}
 	n.flights.end(n.clock.Now(), fingerprint, end == poison.Lost)
+	if err != nil && calls.AsError(err).Reason() == calls.ReasonUpstreamLost {
+		n.doubtUpstream()
+	}
 	if pass.Leave(end) {
 		n.tellSuspects([]uint64{fingerprint})
 	}
--- a/mesh/desk.go
+++ b/mesh/desk.go
@@ -13,6 +13,9 @@
 const (
 	// deskTime is the time between two looks at whether the upstream is there.
 	deskTime = 300 * time.Millisecond
+	// doubtTime is the least time between two looks after lost calls: each costs the
+	// upstream a connection.
+	doubtTime = 250 * time.Millisecond
 	// silentBeats is the number of heartbeats that may fail to come before the
 	// upstream is looked for.
 	silentBeats = 2.2
@@ -265,22 +268,59 @@
 	}
 }
 
-// watchUpstream looks for an upstream whose heartbeats have failed to come.
+// doubtUpstream asks for a look at whether the upstream is there, after a call was
+// lost.
+func (n *Node) doubtUpstream() {
+	select {
+	case n.doubts <- struct{}{}:
+	default:
+	}
+}
+
+// watchUpstream looks whether the upstream is there: when its heartbeats have failed
+// to come, and when calls are lost.
 func (n *Node) watchUpstream() {
-	now := n.clock.Now()
+	ticker := n.clock.NewTicker(deskTime)
+	defer ticker.Stop()
+	looked := n.clock.Now()
+	for {
+		doubted := false
+		select {
+		case <-n.ctx.Done():
+			return
+		case <-ticker.Chan():
+		case <-n.doubts:
+			doubted = n.clock.Now().Sub(looked) >= doubtTime
+		}
+		if doubted || n.isUpstreamSilent() {
+			looked = n.clock.Now()
+			n.lookAtUpstream()
+		}
+	}
+}
+
+func (n *Node) isUpstreamSilent() bool {
 	n.mu.Lock()
+	defer n.mu.Unlock()
 	limit := time.Duration(silentBeats * float64(n.settings.Interval))
-	silent := n.desk.id == "" || now.Sub(n.desk.beat) > limit
+	return n.desk.id == "" || n.clock.Now().Sub(n.desk.beat) > limit
+}
+
+// lookAtUpstream opens a connection to the upstream to see whether it is there.
+func (n *Node) lookAtUpstream() {
+	now := n.clock.Now()
+	n.mu.Lock()
 	present := n.desk.present
+	silent := now.Sub(n.desk.beat) > time.Duration(silentBeats*float64(n.settings.Interval))
 	n.mu.Unlock()
-	if !silent {
-		return
-	}
 	listening, refused := n.probe()
 	if refused {
 		n.upstreamDown(true)
 		return
 	}
+	if !silent {
+		return
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.machine != nil && present {
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -76,6 +76,8 @@
 	configRaw atomic.Pointer[document]
 	ready     atomic.Bool
 	kicks     chan struct{}
+	// doubts asks for a look at the upstream.
+	doubts chan struct{}
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -99,7 +101,7 @@
 		clock: clockwork.NewRealClock(), log: logr.Discard(), scope: tally.NoopScope,
 		plans: vhost.NewHolder(), heat: plan.NewHeat(), fleet: plan.NewHeat(), given: newAllowances(),
 		tables: make(map[ident.Service]*table), changed: make(chan struct{}),
-		kicks: make(chan struct{}, 1), ctx: ctx, cancel: cancel,
+		kicks: make(chan struct{}, 1), doubts: make(chan struct{}, 1), ctx: ctx, cancel: cancel,
 	}
 	for _, opt := range opts {
 		opt(n)
@@ -164,7 +166,7 @@
 	n.run(func() { n.every(gossip.DefaultTimings().Interval, n.gossip) })
 	n.run(n.think)
 	n.run(func() { n.every(heatTime, n.measure) })
-	n.run(func() { n.every(deskTime, n.watchUpstream) })
+	n.run(n.watchUpstream)
 }
 
 func (n *Node) run(duty func()) {
