Keep callers and keys away from hosts that lack processor time

Its readiness said only whether it knew a configuration.

Ruled out: refusing at once at the strained daemon, since reading a request and refusing it costs most of what passing it on does.

Change: package strain measures how late the daemon's own timers are. Strained, the daemon is not ready for callers, tells its lateness as part of the wait, and counts for 0.3 of its upstream's capacity, so that keys move away. It is ready again when the lateness has gone, after a rest that doubles while strain comes back.

--- a/mesh/fleet.go
+++ b/mesh/fleet.go
@@ -26,14 +26,14 @@
 // updateSelf brings this daemon's own entry up to date. It is called with mu
 // held.
 func (n *Node) updateSelf() {
-	offered, capacity := n.gate.Load()
+	offered, capacity := n.load()
 	n.state.Update(func(e *gossip.Entry) {
 		e.Condition = n.condition()
 		_, _, slots := n.gate.State()
 		e.Slots = uint16(slots)
 		e.Load = gossip.Load{
 			Offered: float32(offered), Capacity: float32(capacity),
-			Wait: uint32(n.gate.Wait().Milliseconds()), Cold: uint32(n.desk.cold(n.clock.Now()).Milliseconds()),
+			Wait: uint32(n.wait().Milliseconds()), Cold: uint32(n.desk.cold(n.clock.Now()).Milliseconds()),
 		}
 	})
 }
--- a/mesh/local.go
+++ b/mesh/local.go
@@ -206,4 +206,4 @@
 }
 
 // Wait implements peers.WebHandler.
-func (p *peerSide) Wait() time.Duration { return p.node.gate.Wait() }
+func (p *peerSide) Wait() time.Duration { return p.node.wait() }
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -23,6 +23,7 @@
 	"github.com/monsoonmoor/monsoonmoor/sched"
 	"github.com/monsoonmoor/monsoonmoor/steer"
 	"github.com/monsoonmoor/monsoonmoor/store"
+	"github.com/monsoonmoor/monsoonmoor/strain"
 	"github.com/monsoonmoor/monsoonmoor/upconn"
 	"github.com/monsoonmoor/monsoonmoor/vhost"
 )
@@ -55,6 +56,7 @@
 	fleet  *plan.Heat
 	waits  *waits
 	given  *allowances
+	strain *strain.Meter
 	// flights and quarantine find the calls that crash upstreams.
 	flights    *flights
 	quarantine *poison.Quarantine
@@ -99,7 +101,7 @@
 	n := &Node{
 		settings: settings, applied: settings, ports: ports,
 		clock: clockwork.NewRealClock(), log: logr.Discard(), scope: tally.NoopScope,
-		plans: vhost.NewHolder(), heat: plan.NewHeat(), fleet: plan.NewHeat(), given: newAllowances(),
+		plans: vhost.NewHolder(), heat: plan.NewHeat(), fleet: plan.NewHeat(), given: newAllowances(), strain: strain.New(),
 		tables: make(map[ident.Service]*table), changed: make(chan struct{}),
 		kicks: make(chan struct{}, 1), doubts: make(chan struct{}, 1), ctx: ctx, cancel: cancel,
 	}
@@ -167,6 +169,7 @@
 	n.run(n.think)
 	n.run(func() { n.every(heatTime, n.measure) })
 	n.run(n.watchUpstream)
+	n.run(n.watchStrain)
 }
 
 func (n *Node) run(duty func()) {
@@ -211,8 +214,9 @@
 // Plan returns the configuration in force.
 func (n *Node) Plan() *vhost.Plan { return n.plans.Plan() }
 
-// Ready reports whether callers should use this daemon.
-func (n *Node) Ready() bool { return n.ready.Load() }
+// Ready reports whether callers should use this daemon: it knows where calls go,
+// does not end, and has the processor time that they need.
+func (n *Node) Ready() bool { return n.ready.Load() && !n.strain.Strained() }
 
 // kick makes the daemon look at its leases, members and moves now.
 func (n *Node) kick() {
