--- a/mesh/fleet.go
+++ b/mesh/fleet.go
@@ -26,14 +26,14 @@
 // updateSelf brings this daemon's own entry up to date. It is called with mu
 // held.
 func (n *Node) updateSelf() {
-	offered, capacity := n.gate.Load()
+	offered, capacity := n.load()
 	n.state.Update(func(e *gossip.Entry) {
 		e.Condition = n.condition()
 		_, _, slots := n.gate.State()
 		e.Slots = uint16(slots)
 		e.Load = gossip.Load{
 			Offered: float32(offered), Capacity: float32(capacity),
-			Wait: uint32(n.gate.Wait().Milliseconds()), Cold: uint32(n.desk.cold(n.clock.Now()).Milliseconds()),
+			Wait: uint32(n.wait().Milliseconds()), Cold: uint32(n.desk.cold(n.clock.Now()).Milliseconds()),
 		}
 	})
 }
@@ -90,6 +90,9 @@
 	if m.Request != nil {
 		n.takeRequest(now, *m.Request)
 	}
+	if m.Suspects != nil {
+		n.quarantine.Merge(m.Suspects)
+	}
 	if m.Changed != nil {
 		n.hear(now, m.From.Host, *m.Changed, m.Urgent)
 	}
--- a/mesh/local.go
+++ b/mesh/local.go
@@ -57,7 +57,7 @@
 			ticket.Cancel()
 			continue
 		}
-		reply, err := n.pool.Run(ctx, call, instance)
+		reply, err := n.fly(ctx, call, instance)
 		ticket.Done(resultOf(reply, err))
 		return reply, err
 	}
@@ -206,4 +206,4 @@
 }
 
 // Wait implements peers.WebHandler.
-func (p *peerSide) Wait() time.Duration { return p.node.gate.Wait() }
+func (p *peerSide) Wait() time.Duration { return p.node.wait() }
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -19,9 +19,11 @@
 	"github.com/monsoonmoor/monsoonmoor/owner"
 	"github.com/monsoonmoor/monsoonmoor/peers"
 	"github.com/monsoonmoor/monsoonmoor/plan"
+	"github.com/monsoonmoor/monsoonmoor/poison"
 	"github.com/monsoonmoor/monsoonmoor/sched"
 	"github.com/monsoonmoor/monsoonmoor/steer"
 	"github.com/monsoonmoor/monsoonmoor/store"
+	"github.com/monsoonmoor/monsoonmoor/strain"
 	"github.com/monsoonmoor/monsoonmoor/upconn"
 	"github.com/monsoonmoor/monsoonmoor/vhost"
 )
@@ -54,6 +56,10 @@
 	fleet  *plan.Heat
 	waits  *waits
 	given  *allowances
+	strain *strain.Meter
+	// flights and quarantine find the calls that crash upstreams.
+	flights    *flights
+	quarantine *poison.Quarantine
 
 	// mu guards what the daemon believes of the fleet, the leases and the keys.
 	mu       sync.Mutex
@@ -72,6 +78,8 @@
 	configRaw atomic.Pointer[document]
 	ready     atomic.Bool
 	kicks     chan struct{}
+	// doubts asks for a look at the upstream.
+	doubts chan struct{}
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -93,9 +101,9 @@
 	n := &Node{
 		settings: settings, applied: settings, ports: ports,
 		clock: clockwork.NewRealClock(), log: logr.Discard(), scope: tally.NoopScope,
-		plans: vhost.NewHolder(), heat: plan.NewHeat(), fleet: plan.NewHeat(), given: newAllowances(),
+		plans: vhost.NewHolder(), heat: plan.NewHeat(), fleet: plan.NewHeat(), given: newAllowances(), strain: strain.New(),
 		tables: make(map[ident.Service]*table), changed: make(chan struct{}),
-		kicks: make(chan struct{}, 1), ctx: ctx, cancel: cancel,
+		kicks: make(chan struct{}, 1), doubts: make(chan struct{}, 1), ctx: ctx, cancel: cancel,
 	}
 	for _, opt := range opts {
 		opt(n)
@@ -126,6 +134,7 @@
 		upconn.WithScope(n.scope), upconn.WithDown(n.upstreamDown))
 	n.budget = steer.NewBudget(s.RetryRatio, s.RetrySlack, s.RetryWindow)
 	n.desk = newDesk(s.answerHold())
+	n.flights, n.quarantine = newFlights(), newQuarantine(n)
 }
 
 // seed adds addresses where other daemons may be.
@@ -159,7 +168,8 @@
 	n.run(func() { n.every(gossip.DefaultTimings().Interval, n.gossip) })
 	n.run(n.think)
 	n.run(func() { n.every(heatTime, n.measure) })
-	n.run(func() { n.every(deskTime, n.watchUpstream) })
+	n.run(n.watchUpstream)
+	n.run(n.watchStrain)
 }
 
 func (n *Node) run(duty func()) {
@@ -204,8 +214,9 @@
 // Plan returns the configuration in force.
 func (n *Node) Plan() *vhost.Plan { return n.plans.Plan() }
 
-// Ready reports whether callers should use this daemon.
-func (n *Node) Ready() bool { return n.ready.Load() }
+// Ready reports whether callers should use this daemon: it knows where calls go,
+// does not end, and has the processor time that they need.
+func (n *Node) Ready() bool { return n.ready.Load() && !n.strain.Strained() }
 
 // kick makes the daemon look at its leases, members and moves now.
 func (n *Node) kick() {
