Know a later attempt by its request and deadline

Cause: a call that came with less time than the most seen on its route within 30 s counted as a later attempt, and the difference as time spent.

Ruled out: a lower percentile of the times given, since first attempts are spread evenly over the fifth.

Change: sched.Returns remembers calls that failed; the next attempt has the same request and the same deadline, within 30 ms. Quarantine's fingerprints include the key of an ordered key space.

--- a/mesh/node.go
+++ b/mesh/node.go
@@ -45,18 +45,18 @@
 	counts   counts
 	self     ident.Incarnation
 
-	plans  *vhost.Holder
-	gate   *sched.Gate
-	pool   *upconn.Pool
-	web    *peers.Web
-	socket *gossip.Socket
-	router *steer.Router
-	budget *steer.Budget
-	heat   *plan.Heat
-	fleet  *plan.Heat
-	waits  *waits
-	given  *allowances
-	strain *strain.Meter
+	plans   *vhost.Holder
+	gate    *sched.Gate
+	pool    *upconn.Pool
+	web     *peers.Web
+	socket  *gossip.Socket
+	router  *steer.Router
+	budget  *steer.Budget
+	heat    *plan.Heat
+	fleet   *plan.Heat
+	waits   *waits
+	returns *sched.Returns
+	strain  *strain.Meter
 	// flights and quarantine find the calls that crash upstreams.
 	flights    *flights
 	quarantine *poison.Quarantine
@@ -101,7 +101,7 @@
 	n := &Node{
 		settings: settings, applied: settings, ports: ports,
 		clock: clockwork.NewRealClock(), log: logr.Discard(), scope: tally.NoopScope,
-		plans: vhost.NewHolder(), heat: plan.NewHeat(), fleet: plan.NewHeat(), given: newAllowances(), strain: strain.New(),
+		plans: vhost.NewHolder(), heat: plan.NewHeat(), fleet: plan.NewHeat(), returns: sched.NewReturns(), strain: strain.New(),
 		tables: make(map[ident.Service]*table), changed: make(chan struct{}),
 		kicks: make(chan struct{}, 1), doubts: make(chan struct{}, 1), ctx: ctx, cancel: cancel,
 	}
@@ -201,12 +201,16 @@
 	if call.Ordered {
 		n.fleet.Touch(call.Point)
 	}
-	left := call.Deadline.Sub(now)
-	call.Terms.Spent = n.given.spent(now, call.Terms.Route, left)
-	if t := call.Terms.Timeout; t > 0 && t < left {
+	asked, fingerprint := call.Deadline, poison.Fingerprint(call, prefixOf(call))
+	begun := n.returns.Begun(now, fingerprint, asked)
+	call.Terms.Spent = now.Sub(begun)
+	if t := call.Terms.Timeout; t > 0 && t < asked.Sub(now) {
 		call.Deadline = now.Add(t)
 	}
 	reply, err := n.router.Run(ctx, call)
+	if err != nil {
+		n.returns.Failed(fingerprint, begun, asked)
+	}
 	n.counts.count(n.clock.Now().Sub(now), reply, err)
 	return reply, err
 }
--- a/poison/fingerprint.go
+++ b/poison/fingerprint.go
@@ -25,6 +25,10 @@
 	var length [8]byte
 	binary.BigEndian.PutUint64(length[:], uint64(call.Length))
 	_, _ = d.Write(length[:])
+	if call.Ordered {
+		binary.BigEndian.PutUint64(length[:], uint64(call.Point))
+		_, _ = d.Write(length[:])
+	}
 	_, _ = d.Write(prefix)
 	return d.Sum64()
 }
--- /dev/null
+++ b/sched/returns_test.go
@@ -0,0 +1,53 @@
+package sched_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/monsoonmoor/monsoonmoor/sched"
+)
+
+// Callers give different times for the same request. A first attempt of one that is in
+// a hurry is no later attempt, and a later attempt is known by its deadline.
+func TestReturns(t *testing.T) {
+	c := qt.New(t)
+	r := sched.NewReturns()
+	const request = 7
+	patient, hurried := start.Add(3*time.Second), start.Add(2400*time.Millisecond)
+	c.Check(r.Begun(start, request, patient), qt.Equals, start)
+	c.Check(r.Begun(start, request, hurried), qt.Equals, start)
+	r.Failed(request, start, patient)
+	r.Failed(request, start, hurried)
+	later := start.Add(300 * time.Millisecond)
+	c.Check(r.Begun(later, request, later.Add(2900*time.Millisecond)), qt.Equals, later)
+	c.Check(r.Begun(later, request+1, hurried), qt.Equals, later)
+	c.Check(r.Begun(later, request, hurried.Add(4*time.Millisecond)), qt.Equals, start)
+	c.Check(r.Begun(later, request, hurried), qt.Equals, later, qt.Commentf("an attempt comes back once"))
+	c.Check(r.Begun(later, request, patient.Add(-4*time.Millisecond)), qt.Equals, start)
+}
+
+// The memory is bounded: the oldest failures are forgotten first.
+func TestReturnsAreBounded(t *testing.T) {
+	c := qt.New(t)
+	r := sched.NewReturns()
+	rng := rand.New(rand.NewPCG(1, 2))
+	const many = 20000
+	deadline := func(i int) time.Time { return start.Add(time.Duration(i) * 100 * time.Millisecond) }
+	for i := range many {
+		r.Failed(uint64(i%300), deadline(i), deadline(i))
+		if rng.IntN(3) == 0 {
+			r.Begun(deadline(many), uint64(i%300), deadline(i))
+		}
+	}
+	known := 0
+	for i := range many {
+		if r.Begun(deadline(many), uint64(i%300), deadline(i)).Equal(deadline(i)) {
+			known++
+			c.Check(i >= many-8192, qt.IsTrue, qt.Commentf("%d", i))
+		}
+	}
+	c.Check(known > 2000 && known <= 4096, qt.IsTrue, qt.Commentf("%d", known))
+}
