Take a service time for longer where it varies more

Change: mean and mean deviation, learned alike.

Before: TestUnevenServiceTimesNeedTimeInHand would take the uneven class at a wait that fits the even one alone.

--- a/sched/queue.go
+++ b/sched/queue.go
@@ -20,10 +20,14 @@
 	leastRetry = 60 * time.Millisecond
 	// mostRetry is the longest such time: a queue lasts no longer.
 	mostRetry = time.Second
-	// waitCaution and serviceCaution are by how much a wait and a service time are
-	// taken to be longer than reckoned.
-	waitCaution    = 1.5
-	serviceCaution = 1.2
+	// waitCaution is by how much a wait is taken to be longer than reckoned.
+	waitCaution = 1.5
+	// serviceCaution is how many mean deviations a service time is taken to be longer
+	// than its mean: three of four calls take no longer.
+	serviceCaution = 1.0
+	// firstDeviation is the deviation of a service time that was measured once, as a
+	// part of it.
+	firstDeviation = 0.2
 	// leastShare is the least part of the slots that calls of any rank are
 	// reckoned with.
 	leastShare = 0.1
@@ -93,6 +97,8 @@
 	running int
 	waiting []*Waiter
 	means   map[string]time.Duration
+	// spreads are the mean deviations from the means.
+	spreads map[string]time.Duration
 	// busy is the service time of the calls that run, summed over their means.
 	busy time.Duration
 
@@ -104,7 +110,7 @@
 
 // NewQueue returns a queue for an upstream that has announced no slots yet.
 func NewQueue() *Queue {
-	return &Queue{means: make(map[string]time.Duration), demand: make(map[int]*rate)}
+	return &Queue{means: make(map[string]time.Duration), spreads: make(map[string]time.Duration), demand: make(map[int]*rate)}
 }
 
 // Announce sets the number of calls that the upstream runs at once.
@@ -120,7 +126,10 @@
 func (q *Queue) Waiting() int { return len(q.waiting) }
 
 // Forget drops the measured service times, for a new life of the upstream.
-func (q *Queue) Forget() { clear(q.means) }
+func (q *Queue) Forget() {
+	clear(q.means)
+	clear(q.spreads)
+}
 
 // Service returns the mean service time of a class.
 func (q *Queue) Service(class string) time.Duration {
@@ -159,12 +168,13 @@
 // than arrives, so that late answers cost no call its target; else it is better
 // turned away at once, as long as it has time to come back.
 func (q *Queue) isWorthWaiting(now time.Time, d Demand, wait, service time.Duration) bool {
-	need := time.Duration(waitCaution*float64(wait) + serviceCaution*float64(service))
+	likely := service + time.Duration(serviceCaution*float64(q.spread(d.Class)))
+	need := time.Duration(waitCaution*float64(wait)) + likely
 	if !now.Add(need).After(d.Target) {
 		return true
 	}
 	offered, capacity := q.Load(now)
-	need = time.Duration(waitCaution*float64(max(wait, q.Wait())) + serviceCaution*float64(service))
+	need = time.Duration(waitCaution*float64(max(wait, q.Wait()))) + likely
 	return offered <= spareLoad*capacity && !now.Add(need).After(d.GiveUp)
 }
 
@@ -293,9 +303,19 @@
 		q.means[class] = took
 		return
 	}
+	spread := q.spread(class)
+	q.spreads[class] = spread + time.Duration(learnRate*float64((took-mean).Abs()-spread))
 	q.means[class] = mean + time.Duration(learnRate*float64(took-mean))
 }
 
+// spread returns the mean deviation of a class's service times from their mean.
+func (q *Queue) spread(class string) time.Duration {
+	if d, ok := q.spreads[class]; ok {
+		return d
+	}
+	return time.Duration(firstDeviation * float64(q.Service(class)))
+}
+
 // learnDemand keeps the work that arrives by rank.
 func (q *Queue) learnDemand(now time.Time, priority int, service time.Duration) {
 	r, ok := q.demand[priority]
--- a/sched/sched_test.go
+++ b/sched/sched_test.go
@@ -331,3 +331,29 @@
 		c.Check(worth/possible >= 0.9*min(1, allowed), qt.IsTrue, qt.Commentf("load %.1f: worth %.3f of %.3f", factor, worth/possible, allowed))
 	}
 }
+
+// A class whose calls take very different times needs more time in hand: it is
+// refused at a wait at which an even one is taken.
+func TestUnevenServiceTimesNeedTimeInHand(t *testing.T) {
+	c := qt.New(t)
+	q := sched.NewQueue()
+	q.Announce(1)
+	now := start
+	for i := range 200 {
+		for class, took := range map[string]time.Duration{
+			"even":   100 * time.Millisecond,
+			"uneven": time.Duration(30+140*(i%2)) * time.Millisecond,
+		} {
+			now = now.Add(200 * time.Millisecond)
+			q.Arrive(now, demand(class, 1, now, time.Second, time.Second))
+			q.Finish(now, class, 100*time.Millisecond, took, sched.Served)
+		}
+	}
+	now = now.Add(10 * time.Second)
+	q.Arrive(now, demand("even", 1, now, time.Second, time.Second))
+	target := 290 * time.Millisecond
+	_, even, _ := q.Arrive(now, demand("even", 1, now, target, target))
+	c.Check(even, qt.Equals, sched.Wait)
+	refused, _, _ := q.Arrive(now, demand("uneven", 0, now, target, target))
+	c.Check(refused, qt.IsNil)
+}
