--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -7,9 +7,11 @@
 
 	qt "github.com/frankban/quicktest"
 	"github.com/go-logr/logr"
+	"github.com/jonboulle/clockwork"
 
 	"github.com/monsoonmoor/monsoonmoor/gossip"
 	"github.com/monsoonmoor/monsoonmoor/ident"
+	"github.com/monsoonmoor/monsoonmoor/poison"
 )
 
 var start = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
@@ -180,3 +182,26 @@
 		}
 	})
 }
+
+// The largest report of suspects fits into one datagram, with the longest names that
+// services have here.
+func TestSuspectsFitOneDatagram(t *testing.T) {
+	c := qt.New(t)
+	clock := clockwork.NewFakeClock()
+	q := poison.New(poison.WithClock(clock), poison.WithEnough(100))
+	const service = "rounds-desk-of-texas"
+	var fingerprints []uint64
+	for i := range 200 {
+		fingerprints = append(fingerprints, uint64(i)<<55+1)
+	}
+	for crash := range 8 {
+		q.Crash(service, uint64(crash)<<60+1, fingerprints)
+	}
+	report := q.About(service, fingerprints)
+	data, err := gossip.Message{From: ident.NewIncarnation("sidecar-san-antonio-12", 1<<41), Suspects: report}.Encode()
+	c.Assert(err, qt.IsNil)
+	back, err := gossip.DecodeMessage(data)
+	c.Assert(err, qt.IsNil)
+	c.Check(back.Suspects.Items, qt.HasLen, len(report.Items))
+	c.Check(len(report.Items) > 30, qt.IsTrue, qt.Commentf("%d", len(report.Items)))
+}
