Take a pause of the process for no strain

Cause: after a freeze the first timer is late by its whole length, on a clock that counts it. The mean lateness took seconds to fall, and meanwhile a daemon that ran well again kept callers away and gave keys away.

Change: a sample counts for 200 ms and 250 ms late at most, so that several in a row are needed.

Before: TestPauseIsNoStrain fails at the first pause. After: it passes, and the tests of slowed and flooded hosts too.

--- a/strain/meter.go
+++ b/strain/meter.go
@@ -13,6 +13,11 @@
 	// halfLife is the time after which a sample counts half: longer than the pauses
 	// of a processor that is shared out in tenths of a second.
 	halfLife = 300 * time.Millisecond
+	// mostWeight is the longest time that one sample stands for, and mostLate the
+	// greatest lateness that it counts with: a process that stood still is late once,
+	// which alone is no strain.
+	mostWeight = 200 * time.Millisecond
+	mostLate   = 250 * time.Millisecond
 	// highLate is the mean lateness from which a daemon is strained: a call waits for
 	// the processor several times on its way, and targets are some hundred
 	// milliseconds.
@@ -49,11 +54,12 @@
 	defer m.mu.Unlock()
 	passed := SampleTime
 	if !m.last.IsZero() {
-		passed = now.Sub(m.last)
+		passed = min(now.Sub(m.last), mostWeight)
 	}
 	m.last = now
+	late = min(max(0, late), mostLate)
 	keep := math.Exp2(-passed.Seconds() / halfLife.Seconds())
-	m.late = time.Duration(keep*float64(m.late) + (1-keep)*float64(max(0, late)))
+	m.late = time.Duration(keep*float64(m.late) + (1-keep)*float64(late))
 	switch {
 	case !m.strained && m.late >= highLate:
 		m.begin(now)
--- a/strain/meter_test.go
+++ b/strain/meter_test.go
@@ -100,3 +100,20 @@
 	}
 	c.Check(rest(), qt.Equals, first)
 }
+
+// TestPauseIsNoStrain lets the process stand still for seconds: once it runs again its
+// timers are on time, and callers need not go elsewhere.
+func TestPauseIsNoStrain(t *testing.T) {
+	c := qt.New(t)
+	m := strain.New()
+	now := start
+	for i := range 100 {
+		late := time.Duration(0)
+		if i%40 == 20 {
+			late = 5 * time.Second
+		}
+		now = now.Add(strain.SampleTime + late)
+		m.Sample(now, late)
+		c.Assert(m.Strained(), qt.IsFalse, qt.Commentf("sample %d", i))
+	}
+}
