Watch the configuration in short reads on three daemons

Cause: a read that waits in the store when that falls silent shows nothing until it ends, after 20 s, and all daemons wait so.

Change: the first three live daemons also read the configuration in reads of 1.2 s, from 3 s after their start; gossip tells the others.

--- a/mesh/fleet_test.go
+++ b/mesh/fleet_test.go
@@ -73,8 +73,9 @@
 	return l.Addr().String()
 }
 
-func decodePlan([]byte) (*vhost.Plan, error) {
-	return vhost.New(1, []*vhost.Route{
+// decodePlan takes the length of a document for its version.
+func decodePlan(data []byte) (*vhost.Plan, error) {
+	return vhost.New(uint64(max(1, len(data))), []*vhost.Route{
 		vhost.NewRoute("shop", "/e/", []vhost.Part{{Service: ordered, Weight: 1}}, calls.Terms{
 			Route: "e", Repeatable: true, Attempts: 2, Target: time.Second, Timeout: 2 * time.Second,
 		}),
@@ -337,3 +338,17 @@
 	c.Check(ran(leaving), qt.Equals, before)
 	c.Check(ran(other), qt.Equals, served+40)
 }
+
+// The store falls silent: reads that wait get no answer, new ones do. A configuration
+// that is written then is in force long before those reads end.
+func TestConfigurationAfterASilence(t *testing.T) {
+	c := qt.New(t)
+	mem, hosts := fleet(c, 3, 2)
+	time.Sleep(4 * time.Second)
+	mem.Deafen()
+	_, err := mem.Put(context.Background(), store.Write{Topic: "op", Key: "config", Value: []byte("xx"), At: store.Anywhere})
+	c.Assert(err, qt.IsNil)
+	for _, h := range hosts {
+		eventually(c, func() bool { return h.node.Plan().Version() == 2 })
+	}
+}
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -170,6 +170,7 @@
 	n.run(func() { n.every(heatTime, n.measure) })
 	n.run(n.watchUpstream)
 	n.run(n.watchStrain)
+	n.run(n.watchConfig)
 }
 
 func (n *Node) run(duty func()) {
--- a/mesh/source.go
+++ b/mesh/source.go
@@ -21,6 +21,15 @@
 	// configuration, and the least time between two.
 	configWait = 20 * time.Second
 	configGap  = 600 * time.Millisecond
+	// watchWait is that wait for the few daemons that watch the configuration: a read
+	// that waits when the store falls silent shows nothing until it ends, and with all
+	// daemons in long reads a change after the silence was seen late by all.
+	watchWait = 1200 * time.Millisecond
+	// watchStart is when a daemon that starts begins to watch: it reads the
+	// configuration anyway.
+	watchStart = 3 * time.Second
+	// configWatchers is the number of daemons that watch; gossip tells the others.
+	configWatchers = 3
 )
 
 // followConfig keeps up with the operators' configuration.
@@ -33,6 +42,41 @@
 	n.followers = append(n.followers, f)
 }
 
+// watchConfig reads the configuration in short reads while this daemon is one of
+// those that watch it.
+func (n *Node) watchConfig() {
+	timer := n.clock.NewTimer(watchStart)
+	defer timer.Stop()
+	select {
+	case <-timer.Chan():
+	case <-n.ctx.Done():
+		return
+	}
+	f := store.Follow(n.ports.Store, n.ports.Config.Topic, func(item store.Item) {
+		if item.Key == n.ports.Config.Key {
+			n.readConfig(item.Value, "watch")
+		}
+	}, store.WithClock(n.clock), store.WithLogger(n.log.WithName("watch")), store.WithWait(watchWait, configGap),
+		store.WithWanted(n.isWatcher))
+	<-n.ctx.Done()
+	if err := f.Close(); err != nil {
+		n.log.Info("watch not closed", "err", err.Error())
+	}
+}
+
+// isWatcher reports whether this daemon is one of those that watch the
+// configuration: the first live ones by name.
+func (n *Node) isWatcher() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for i, e := range n.state.Live(n.clock.Now()) {
+		if e.Inc.Host == n.settings.Host {
+			return i < configWatchers
+		}
+	}
+	return false
+}
+
 // readConfig puts a configuration in force unless a newer one is.
 func (n *Node) readConfig(data []byte, source string) {
 	p, err := n.ports.Config.Decode(data)
--- a/store/mem.go
+++ b/store/mem.go
@@ -26,6 +26,8 @@
 	faults MemFaults
 	topics map[string]*memTopic
 	calls  int
+	// deaf counts how often the reads that waited were forgotten.
+	deaf int
 }
 
 var _ Port = (*Mem)(nil)
@@ -49,6 +51,19 @@
 	m.faults = f
 }
 
+// Deafen forgets the reads that wait now: they get no answer, while new ones do.
+func (m *Mem) Deafen() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.deaf++
+}
+
+func (m *Mem) deafened() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.deaf
+}
+
 // Calls returns the number of calls so far.
 func (m *Mem) Calls() int {
 	m.mu.Lock()
@@ -114,7 +129,12 @@
 func (m *Mem) Read(ctx context.Context, topic string, from uint64, wait time.Duration) (Page, error) {
 	timer := m.clock.NewTimer(wait)
 	defer timer.Stop()
+	deaf := m.deafened()
 	for counted := false; ; counted = true {
+		if m.deafened() != deaf {
+			<-ctx.Done()
+			return Page{}, fmt.Errorf("read %s: %w: %w", topic, ErrUnknown, ctx.Err())
+		}
 		page, grown, err := m.read(topic, from, !counted)
 		if err != nil || len(page.Items) > 0 {
 			return page, err
