--- a/sched/returns.go
+++ b/sched/returns.go
@@ -17,8 +17,8 @@
 
 // Returns remembers calls that were not served, so that the next attempt of the same
 // caller is known as one: it is the same request with the same deadline. How much
-// time a caller gives does not tell, since callers differ in that. Returns is safe
-// for concurrent use.
+// time a call comes with does not tell, since that differs among calls that have not
+// failed here. Returns is safe for concurrent use.
 type Returns struct {
 	mu     sync.Mutex
 	failed map[uint64][]failure
