Keep a retired member as witness until it is replaced

Ruled out: a longer wait for the first lease (members lost leases that they had); a longer rest alone (a walk of 150 checks found a fleet of five in which two retired hosts waited for the others to replace them, and these for the new incarnations of the two).

Change: a retired member stays while members that renew with it name it, six leases at most; it grants nothing to others, so that nobody names it anew. One of two witnesses that have left the stream but still grant can be replaced, which the table allowed before.

Repeat a read whose answer was fenced

Cause: an owner whose key is about to change hands holds back an answer that was made meanwhile, and the caller gets 502 unknown fenced, also for a GET. Why the lease or the key went in those 100 ms was not traced: the owner's log was not in the output that was kept.

Change: a call whose method asks for no change is sent again after that outcome. If no later attempt answers, the caller is told unknown, never not run. Table cases failed before.

--- a/calls/call.go
+++ b/calls/call.go
@@ -72,6 +72,16 @@
 	return false
 }
 
+// IsReadOnly reports whether the call's method asks for no change, as RFC 9110
+// section 9.2.1 defines it.
+func (c *Call) IsReadOnly() bool {
+	switch c.Method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
+		return true
+	}
+	return false
+}
+
 // Reply is an upstream's whole answer. The reader of Body gets an error, not
 // io.EOF, when the answer was cut.
 type Reply struct {
--- a/core/lease.go
+++ b/core/lease.go
@@ -16,6 +16,10 @@
 	// leaseless is how many leases' time a member waits for its first lease
 	// before it ends its incarnation.
 	leaseless = 6
+	// restLeases is how many leases' time a retired member stays for those that
+	// have named it as a witness, at the most. It is as long as they wait for a
+	// first lease.
+	restLeases = 6
 )
 
 // peer is what a member knows of one of its witnesses or of a candidate.
--- a/core/machine.go
+++ b/core/machine.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/monsoonmoor/monsoonmoor/events"
@@ -162,11 +163,29 @@
 	if m.moves.since.After(since) {
 		since = m.moves.since
 	}
-	if m.logUp && m.now.Sub(since) >= m.timings.Lease || m.moves.draining && m.allIdle() {
+	rested := m.now.Sub(since)
+	done := rested >= m.timings.Lease && !m.isNeeded() || rested >= restLeases*m.timings.Lease
+	if m.logUp && done || m.moves.draining && m.allIdle() {
 		m.end(m.retired)
 	}
 }
 
+// isNeeded reports whether some member that renews its lease here has named
+// this one as a witness and has not replaced it yet.
+func (m *Machine) isNeeded() bool {
+	for _, w := range m.watch.list {
+		if m.isNamer(w.inc) && m.table.Live(w.inc) && !w.voted && m.now.Sub(w.heard) <= 2*m.timings.Renew {
+			return true
+		}
+	}
+	return false
+}
+
+// isNamer reports whether a member has this one among its witnesses.
+func (m *Machine) isNamer(of ident.Incarnation) bool {
+	return slices.Contains(m.table.Witnesses(of), m.self.Inc)
+}
+
 func (m *Machine) take(in Input) {
 	switch in := in.(type) {
 	case Tick:
--- a/core/naming.go
+++ b/core/naming.go
@@ -129,20 +129,24 @@
 }
 
 // replaceWitness names another witness for one that is silent or gone, while
-// the other two hold. The number is announced to these two and not to the one
-// that goes, so that no vote of the latter can match one of theirs.
+// the other two hold. One that has left the stream holds as long as it still
+// grants. The number is announced to these two and not to the one that goes, so
+// that no vote of the latter can match one of theirs.
 func (m *Machine) replaceWitness() *numbered {
 	set := m.table.Witnesses(m.self.Inc)
 	if set == nil {
 		return nil
 	}
-	lost := slices.IndexFunc(set, m.isWitnessLost)
+	lost := slices.IndexFunc(set, m.isSilent)
+	if lost < 0 {
+		lost = slices.IndexFunc(set, func(w ident.Incarnation) bool { return !m.table.Live(w) })
+	}
 	if lost < 0 {
 		return nil
 	}
 	kept := slices.Delete(slices.Clone(set), lost, lost+1)
 	for _, w := range kept {
-		if m.isWitnessLost(w) || m.now.Sub(m.lease.peer(w).heard) > m.timings.Lease {
+		if m.isSilent(w) || m.now.Sub(m.lease.peer(w).heard) > m.timings.Lease {
 			return nil
 		}
 	}
@@ -163,10 +167,8 @@
 	}
 }
 
-func (m *Machine) isWitnessLost(w ident.Incarnation) bool {
-	if !m.table.Live(w) {
-		return true
-	}
+// isSilent reports whether a witness grants nothing any more.
+func (m *Machine) isSilent(w ident.Incarnation) bool {
 	p := m.lease.peer(w)
 	heard := p.heard
 	if heard.IsZero() {
--- a/core/watch.go
+++ b/core/watch.go
@@ -55,7 +55,7 @@
 
 // watchNamed starts to watch a member that names this one as witness.
 func (m *Machine) watchNamed(of ident.Incarnation) {
-	if slices.Contains(m.table.Witnesses(of), m.self.Inc) {
+	if m.isNamer(of) {
 		m.watch.get(of, m.now)
 	}
 }
@@ -74,6 +74,9 @@
 	if !m.table.Live(from) || !m.table.Live(m.self.Inc) && m.retired == "" {
 		return
 	}
+	if m.retired != "" && !m.isNamer(from) {
+		return
+	}
 	w := m.watch.get(from, m.now)
 	if w.voted {
 		m.send(from, wire.Message{Fenced: &wire.Fenced{Round: r.Round}})
--- a/route/keyed.go
+++ b/route/keyed.go
@@ -15,6 +15,9 @@
 	call *calls.Call
 	// last is the newest refusal.
 	last *calls.Error
+	// unsure is the outcome of an attempt that may have run. No later refusal
+	// may say that the call has not.
+	unsure *calls.Error
 	// target is what the table said at the newest attempt.
 	target table.Target
 	// tried lists the members that refused under target.
@@ -34,16 +37,28 @@
 		return nil, err
 	}
 	defer r.holder.release(&a)
+	reply, err := r.tryRounds(ctx, &a)
+	switch {
+	case err == nil:
+		return reply, nil
+	case a.unsure != nil && err.Outcome() == calls.NotRun:
+		return nil, a.unsure
+	}
+	return nil, err
+}
+
+// tryRounds tries the call round after round while there is hope.
+func (r *Router) tryRounds(ctx context.Context, a *attempt) (*calls.Reply, *calls.Error) {
 	for {
-		reply, err := r.tryRound(ctx, &a)
+		reply, err := r.tryRound(ctx, a)
 		if err == nil {
 			return reply, nil
 		}
-		if err.Outcome() != calls.NotRun || !isRetryable(err.Reason()) || !a.replayable() {
+		if !a.mayRepeat(err) {
 			return nil, err
 		}
 		a.last = err
-		if err := r.wait(ctx, &a); err != nil {
+		if err := r.wait(ctx, a); err != nil {
 			return nil, err
 		}
 	}
@@ -80,9 +95,12 @@
 			return reply, nil
 		}
 		last = err
-		if err.Outcome() != calls.NotRun || !isRetryable(err.Reason()) || !a.replayable() {
+		if !a.mayRepeat(err) {
 			return nil, last
 		}
+		if err.Outcome() == calls.Unknown {
+			a.unsure = err
+		}
 		a.rewind()
 	}
 }
@@ -155,6 +173,19 @@
 	return second
 }
 
+// mayRepeat reports whether the call may be sent again after an outcome. One
+// that reads only is repeated when its answer was held back because the key was
+// about to change hands.
+func (a *attempt) mayRepeat(err *calls.Error) bool {
+	switch {
+	case !a.replayable():
+		return false
+	case err.Outcome() == calls.Unknown:
+		return err.Reason() == calls.ReasonFenced && a.call.IsReadOnly()
+	}
+	return isRetryable(err.Reason())
+}
+
 // isRetryable reports whether another member, or the same one a little later,
 // may run a call that was refused for the reason.
 func isRetryable(reason calls.Reason) bool {
--- a/route/router_test.go
+++ b/route/router_test.go
@@ -1,6 +1,7 @@
 package route_test
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -151,8 +152,10 @@
 func TestKeyedCalls(t *testing.T) {
 	notOwner := calls.NewNotRun(calls.ReasonNotOwner, calls.WithHint(memberC))
 	down := calls.NewNotRun(calls.ReasonPeerDown)
+	fenced := calls.NewUnknown(calls.ReasonFenced)
 	tests := []struct {
 		name   string
+		method string
 		owner  ident.Incarnation
 		script map[ident.Incarnation]func(int, *calls.Call) error
 		sent   []ident.Incarnation
@@ -175,6 +178,28 @@
 			script: map[ident.Incarnation]func(int, *calls.Call) error{memberB: always(calls.NewUnknown(calls.ReasonPeerLost))},
 			sent:   []ident.Incarnation{memberB}, want: "unknown: peer-lost",
 		},
+		{
+			name: "read repeated where the key is now", method: http.MethodGet, owner: memberB,
+			script: map[ident.Incarnation]func(int, *calls.Call) error{memberB: always(fenced)},
+			sent:   []ident.Incarnation{memberB, memberC}, want: "answered",
+		},
+		{
+			name: "write not repeated where the key is now", owner: memberB,
+			script: map[ident.Incarnation]func(int, *calls.Call) error{memberB: always(fenced)},
+			sent:   []ident.Incarnation{memberB}, want: "unknown: fenced",
+		},
+		{
+			name: "read that may have run is never told not run", method: http.MethodGet, owner: memberB,
+			script: map[ident.Incarnation]func(int, *calls.Call) error{
+				memberB: always(fenced), memberC: always(calls.NewNotRun(calls.ReasonOverload)),
+			},
+			sent: []ident.Incarnation{memberB, memberC}, want: "unknown: fenced",
+		},
+		{
+			name: "lost read not repeated", method: http.MethodGet, owner: memberB,
+			script: map[ident.Incarnation]func(int, *calls.Call) error{memberB: always(calls.NewUnknown(calls.ReasonPeerLost))},
+			sent:   []ident.Incarnation{memberB}, want: "unknown: peer-lost",
+		},
 		{
 			name: "overload not retried", owner: memberB,
 			script: map[ident.Incarnation]func(int, *calls.Call) error{memberB: always(calls.NewNotRun(calls.ReasonOverload))},
@@ -201,7 +226,9 @@
 			n := &network{script: tt.script}
 			v := newView(tt.owner)
 			r := route.New(func() route.View { return v }, local{n}, n, route.WithClock(clock), route.WithSeed(1))
-			reply, err := run(r, clock, newCall(clock, "body"))
+			call := newCall(clock, "body")
+			call.Method = cmp.Or(tt.method, call.Method)
+			reply, err := run(r, clock, call)
 			got := "answered"
 			if err != nil {
 				got = err.Error()
