--- a/admin/admin_test.go
+++ b/admin/admin_test.go
@@ -113,6 +113,24 @@
 	c.Assert(string(metrics), qt.Equals, "x 1\n")
 }
 
+func TestStatusOwner(t *testing.T) {
+	c := qt.New(t)
+	inc := ident.NewIncarnation("b", 7)
+	status := admin.Status{Services: []admin.Service{{Name: "rounds-desk", Owners: []admin.Owner{
+		{Inc: inc, Ranges: []admin.Range{{First: 3, Last: 5}, {First: 9, Last: 9}}},
+	}}}}
+	for _, slot := range []ident.Slot{3, 5, 9} {
+		owner, known := status.Owner(ident.NewShard("rounds-desk", slot))
+		c.Check(known, qt.IsTrue)
+		c.Check(owner, qt.Equals, inc)
+	}
+	owner, known := status.Owner(ident.NewShard("rounds-desk", 6))
+	c.Check(known, qt.IsTrue)
+	c.Check(owner.IsZero(), qt.IsTrue)
+	_, known = status.Owner(ident.NewShard("payments", 3))
+	c.Check(known, qt.IsFalse)
+}
+
 func TestCutTableIsAnError(t *testing.T) {
 	c, d, url := serve(t, "a")
 	d.cut = true
--- a/admin/status.go
+++ b/admin/status.go
@@ -104,6 +104,25 @@
 	Last  ident.Slot `json:"last"`
 }
 
+// Owner returns the member that owns a slot; the zero incarnation when nobody
+// does. It reports false for a service that the daemon does not know.
+func (s *Status) Owner(shard ident.Shard) (ident.Incarnation, bool) {
+	for _, service := range s.Services {
+		if service.Name != shard.Service {
+			continue
+		}
+		for _, owner := range service.Owners {
+			for _, r := range owner.Ranges {
+				if r.First <= shard.Slot && shard.Slot <= r.Last {
+					return owner.Inc, true
+				}
+			}
+		}
+		return ident.Incarnation{}, true
+	}
+	return ident.Incarnation{}, false
+}
+
 // Quarantine is a request fingerprint that the daemon refuses or suspects.
 type Quarantine struct {
 	Service     ident.Service `json:"service"`
--- a/cmds/adminop.go
+++ b/cmds/adminop.go
@@ -73,21 +73,20 @@
 	}
 	report := &lineReport{line: line}
 	if q.Why {
-		shard, err := o.shard(ctx, bases, q)
+		shard, holder, err := o.holder(ctx, bases, q)
 		if err != nil {
 			return nil, err
 		}
 		why := events.Why(line.Events, shard)
+		why.Holder = holder
 		report.why = &why
 	}
 	return report, nil
 }
 
-// shard returns the shard that a query is about.
-func (o *adminOperator) shard(ctx context.Context, bases []string, q Query) (ident.Shard, error) {
-	if len(q.Slots) > 0 {
-		return ident.NewShard(q.Service, q.Slots[0]), nil
-	}
+// holder returns the shard that a query is about and who owns it, by the first
+// daemon that knows the service.
+func (o *adminOperator) holder(ctx context.Context, bases []string, q Query) (ident.Shard, *events.Holder, error) {
 	var failures []error
 	for _, base := range bases {
 		status, err := o.client.Status(ctx, base)
@@ -95,13 +94,29 @@
 			failures = append(failures, err)
 			continue
 		}
-		for _, s := range status.Services {
-			if s.Name == q.Service && s.Slots > 0 {
-				return ident.NewShard(q.Service, ident.SlotOf(q.Key, s.Slots)), nil
-			}
+		shard, ok := shardOf(&status, q)
+		if !ok {
+			continue
+		}
+		owner, _ := status.Owner(shard)
+		return shard, &events.Holder{Owner: owner, By: status.Self.Host, Next: status.Log.Offset}, nil
+	}
+	return ident.Shard{}, nil, fmt.Errorf("service %s is not known: %w", q.Service, errors.Join(failures...))
+}
+
+// shardOf returns the shard that a query is about; false when the daemon does
+// not know the service.
+func shardOf(status *admin.Status, q Query) (ident.Shard, bool) {
+	for _, s := range status.Services {
+		if s.Name != q.Service || s.Slots == 0 {
+			continue
+		}
+		if len(q.Slots) > 0 {
+			return ident.NewShard(q.Service, q.Slots[0]), true
 		}
+		return ident.NewShard(q.Service, ident.SlotOf(q.Key, s.Slots)), true
 	}
-	return ident.Shard{}, fmt.Errorf("service %s is not known: %w", q.Service, errors.Join(failures...))
+	return ident.Shard{}, false
 }
 
 // Quarantine implements Operator.
--- a/events/events_test.go
+++ b/events/events_test.go
@@ -251,6 +251,28 @@
 	c.Assert(none.Steps, qt.HasLen, 0)
 }
 
+// The time line keeps what was written last; the table knows the owner for good.
+func TestWhyNamesTheOwnerWhenTheChangeIsForgotten(t *testing.T) {
+	tests := []struct {
+		name  string
+		owner ident.Incarnation
+		want  string
+	}{
+		{"owned", ident.NewIncarnation("b", 7), "owned by b~7, by the table that a has read up to offset 812"},
+		{"free", ident.Incarnation{}, "nobody owns it, by the table that a has read up to offset 812"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			x := events.Why(nil, ident.NewShard("rounds-desk", 512))
+			x.Holder = &events.Holder{Owner: tt.owner, By: "a", Next: 812}
+			var b strings.Builder
+			c.Assert(events.WriteWhy(&b, x), qt.IsNil)
+			c.Assert(b.String(), qt.Equals, "rounds-desk/512: no change of owner is on the time line\n"+tt.want+"\n")
+		})
+	}
+}
+
 func TestWhyFollowsAMove(t *testing.T) {
 	c := qt.New(t)
 	taker := ident.NewIncarnation("b", 1)
--- a/events/why.go
+++ b/events/why.go
@@ -35,6 +35,28 @@
 	Epoch ident.Epoch `json:"epoch,omitempty"`
 	// Steps are in causal order.
 	Steps []Step `json:"steps"`
+	// Holder is who owns the shard by the table of a daemon; nil when none was
+	// asked.
+	Holder *Holder `json:"holder,omitempty"`
+}
+
+// Holder is the owner of a shard as one daemon has read it.
+type Holder struct {
+	// Owner is the owning member; zero when nobody owns the shard.
+	Owner ident.Incarnation `json:"owner"`
+	// By is the daemon that was asked, Next the offset of the first record of the
+	// ownership stream that it had not read.
+	By   ident.Host `json:"by"`
+	Next uint64     `json:"next"`
+}
+
+// String returns the holder as a sentence.
+func (h Holder) String() string {
+	owner := "nobody owns it"
+	if !h.Owner.IsZero() {
+		owner = "owned by " + h.Owner.String()
+	}
+	return fmt.Sprintf("%s, by the table that %s has read up to offset %d", owner, h.By, h.Next)
 }
 
 // ownerKinds are the events that tell of a new owner.
@@ -127,6 +149,9 @@
 	if x.Owner != "" {
 		head = fmt.Sprintf("%s is at %s since epoch %d", x.Shard, x.Owner, x.Epoch)
 	}
+	if x.Holder != nil {
+		head += "\n" + x.Holder.String()
+	}
 	if _, err := fmt.Fprintln(w, head); err != nil {
 		return fmt.Errorf("write explanation: %w", err)
 	}
