Answer what has arrived when a server ends

Cause, traced with logs of TestRollingRestart (two GETs lost with status 0 at a daemon that restarts, sent at 57.993 and 57.995 s, lost at 58.000 s when its listener closed): the accept queue counted as empty when nothing was accepted for 20 ms, also when the goroutine that accepts had no processor time; and http.Server.Shutdown gives no answer to a request that it reads after it has begun (net/http, conn.serve).

Ruled out: a call lost between daemons (no such line at any of them); the client's idle connections (both calls were answered by nobody and at the same instant as the close).

Change: Close of the listener takes what waits out of the accept queue and hands it to the server. The server then goes on until no request is under way or about to come on a new connection, and only then shuts down (listen.End), for the fleet's daemons and the standalone ones.

Before: with the old order two of the new tests fail. After: they pass, five times with the race detector.

--- a/daemon/listeners.go
+++ b/daemon/listeners.go
@@ -20,6 +20,7 @@
 	addr   string
 	server *http.Server
 	bound  *listen.Queue
+	conns  *listen.Conns
 }
 
 // listeners are the daemon's HTTP servers.
@@ -35,14 +36,15 @@
 		if err != nil {
 			return fmt.Errorf("listen for %s: %w", l.name, err)
 		}
-		l.bound = listen.NewQueue(bound, clock)
+		l.bound, l.conns = listen.NewQueue(bound, clock), listen.NewConns(clock)
+		l.follow()
 		s.all = append(s.all, l)
 	}
 	for _, l := range s.all {
 		tasks.Add(1)
 		go func() {
 			defer tasks.Done()
-			if err := l.server.Serve(l.bound); !errors.Is(err, http.ErrServerClosed) {
+			if err := l.server.Serve(l.bound); !listen.IsEnd(err) {
 				log.Error(err, "listener ended", "listener", l.name)
 			}
 		}()
@@ -50,6 +52,17 @@
 	return nil
 }
 
+// follow has the server tell of its connections, beside whom it tells already.
+func (l *listener) follow() {
+	before := l.server.ConnState
+	l.server.ConnState = func(conn net.Conn, state http.ConnState) {
+		l.conns.Change(conn, state)
+		if before != nil {
+			before(conn, state)
+		}
+	}
+}
+
 // addr returns the bound address of a listener, nil when there is none.
 func (s *listeners) addr(name string) net.Addr {
 	for _, l := range s.all {
@@ -64,10 +77,7 @@
 // waits for the requests in flight.
 func (s *listeners) shutdown(ctx context.Context) error {
 	for _, l := range s.all {
-		if err := l.bound.Empty(ctx); err != nil {
-			return fmt.Errorf("shut the %s listener down: %w", l.name, err)
-		}
-		if err := l.server.Shutdown(ctx); err != nil {
+		if err := listen.End(ctx, l.server, l.bound, l.conns); err != nil {
 			return fmt.Errorf("shut the %s listener down: %w", l.name, err)
 		}
 	}
--- a/listen/queue_test.go
+++ b/listen/queue_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -14,15 +15,26 @@
 	"github.com/monsoonmoor/monsoonmoor/listen"
 )
 
+// quietTime is how long a server that ends waits for changes.
+const quietTime = 20 * time.Millisecond
+
 // A server that accepts slowly has connections in its accept queue when it is
 // told to end; all of them are answered.
 func TestQueueIsEmptiedBeforeTheEnd(t *testing.T) {
+	t.Run("slow", func(t *testing.T) { endSlowServer(t, 40, 5*time.Millisecond) })
+	t.Run("stalled for longer than the queue has to be quiet", func(t *testing.T) {
+		endSlowServer(t, 10, 40*time.Millisecond)
+	})
+}
+
+func endSlowServer(t *testing.T, callers int, acceptTime time.Duration) {
 	c := qt.New(t)
-	const callers, acceptTime = 40, 5 * time.Millisecond
 	inner, err := net.Listen("tcp4", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
 	queue := listen.NewQueue(inner, clockwork.NewRealClock())
-	server := &http.Server{Handler: http.HandlerFunc(ok), ReadHeaderTimeout: within, ConnState: func(_ net.Conn, s http.ConnState) {
+	conns := listen.NewConns(clockwork.NewRealClock())
+	server := &http.Server{Handler: http.HandlerFunc(ok), ReadHeaderTimeout: within, ConnState: func(conn net.Conn, s http.ConnState) {
+		conns.Change(conn, s)
 		if s == http.StateNew {
 			time.Sleep(acceptTime)
 		}
@@ -30,15 +42,15 @@
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(queue) }()
 	addr := inner.Addr().String()
-	var conns []net.Conn
+	var dialed []net.Conn
 	for range callers {
 		conn, err := net.Dial("tcp4", addr)
 		c.Assert(err, qt.IsNil)
-		conns = append(conns, conn)
+		dialed = append(dialed, conn)
 	}
 	statuses := make([]string, callers)
 	var reading sync.WaitGroup
-	for i, conn := range conns {
+	for i, conn := range dialed {
 		_, err := conn.Write([]byte("GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"))
 		c.Assert(err, qt.IsNil)
 		reading.Add(1)
@@ -52,9 +64,8 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), within)
 	defer cancel()
-	c.Assert(queue.Empty(ctx), qt.IsNil)
-	c.Assert(server.Shutdown(ctx), qt.IsNil)
-	c.Assert(<-served, qt.ErrorIs, http.ErrServerClosed)
+	c.Assert(listen.End(ctx, server, queue, conns), qt.IsNil)
+	c.Assert(listen.IsEnd(<-served), qt.IsTrue)
 	reading.Wait()
 	for _, status := range statuses {
 		c.Check(status, qt.Equals, "HTTP/1.1 200")
@@ -70,3 +81,80 @@
 	cancel()
 	c.Assert(listen.NewQueue(inner, clockwork.NewRealClock()).Empty(ctx), qt.ErrorIs, context.Canceled)
 }
+
+// Whoever accepts gets no processor time while connections come and the listener
+// closes; they are handed out all the same.
+func TestCloseKeepsWhatWaits(t *testing.T) {
+	c := qt.New(t)
+	const callers = 5
+	inner, err := net.Listen("tcp4", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	queue := listen.NewQueue(inner, clockwork.NewRealClock())
+	for i := range callers {
+		conn, err := net.Dial("tcp4", inner.Addr().String())
+		c.Assert(err, qt.IsNil)
+		defer func() { _ = conn.Close() }()
+		_, err = conn.Write([]byte{byte(i)})
+		c.Assert(err, qt.IsNil)
+	}
+	c.Assert(queue.Close(), qt.IsNil)
+	for i := range callers {
+		conn, err := queue.Accept()
+		c.Assert(err, qt.IsNil)
+		first := make([]byte, 1)
+		_, err = conn.Read(first)
+		c.Assert(err, qt.IsNil)
+		c.Assert(first[0], qt.Equals, byte(i))
+		c.Assert(conn.Close(), qt.IsNil)
+	}
+	_, err = queue.Accept()
+	c.Assert(err, qt.ErrorIs, net.ErrClosed)
+	c.Assert(queue.Close(), qt.ErrorIs, net.ErrClosed)
+}
+
+// A request that comes on a new connection after the listener was closed is
+// answered.
+func TestEndAnswersWhatIsOnItsWay(t *testing.T) {
+	c := qt.New(t)
+	ctx, cancel := context.WithTimeout(context.Background(), within)
+	defer cancel()
+	clock := clockwork.NewFakeClock()
+	inner, err := net.Listen("tcp4", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	queue, conns := listen.NewQueue(inner, clock), listen.NewConns(clock)
+	server := &http.Server{Handler: http.HandlerFunc(ok), ReadHeaderTimeout: within, ConnState: conns.Change}
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(queue) }()
+	conn, err := net.Dial("tcp4", inner.Addr().String())
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = conn.Close() }()
+	for conns.Active() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- listen.End(ctx, server, queue, conns) }()
+	c.Assert(clock.BlockUntilContext(ctx, 1), qt.IsNil)
+	clock.Advance(quietTime)
+	c.Assert(listen.IsEnd(<-served), qt.IsTrue)
+	c.Assert(clock.BlockUntilContext(ctx, 1), qt.IsNil)
+	clock.Advance(quietTime)
+	_, err = conn.Write([]byte("GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"))
+	c.Assert(err, qt.IsNil)
+	answer := make([]byte, len("HTTP/1.1 200"))
+	_, err = io.ReadFull(conn, answer)
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(answer), qt.Equals, "HTTP/1.1 200")
+	for conns.Active() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	for done := false; !done; {
+		select {
+		case err := <-ended:
+			c.Assert(err, qt.IsNil)
+			done = true
+		default:
+			clock.Advance(quietTime)
+			time.Sleep(time.Millisecond)
+		}
+	}
+}
--- a/listen/server.go
+++ b/listen/server.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -33,14 +31,7 @@
 	parting  atomic.Bool
 	done     chan struct{}
 	stop     context.CancelFunc
-
-	mu    sync.Mutex
-	conns map[net.Conn]connState
-}
-
-type connState struct {
-	state http.ConnState
-	since time.Time
+	conns    *Conns
 }
 
 // Option changes a Server.
@@ -65,15 +56,16 @@
 	ctx, stop := context.WithCancel(context.Background())
 	s := &Server{
 		clock: clockwork.NewRealClock(), log: logr.Discard(),
-		idle:  func() time.Duration { return 0 },
-		conns: make(map[net.Conn]connState), done: make(chan struct{}), stop: stop,
+		idle: func() time.Duration { return 0 },
+		done: make(chan struct{}), stop: stop,
 	}
 	for _, opt := range opts {
 		opt(s)
 	}
+	s.conns = NewConns(s.clock)
 	s.listener = NewQueue(inner, s.clock)
 	s.server = &http.Server{
-		Handler: s.part(handler), ReadHeaderTimeout: headerTime, MaxHeaderBytes: maxHeader, ConnState: s.change,
+		Handler: s.part(handler), ReadHeaderTimeout: headerTime, MaxHeaderBytes: maxHeader, ConnState: s.conns.Change,
 	}
 	swept := make(chan struct{})
 	go func() {
@@ -82,7 +74,7 @@
 	}()
 	go func() {
 		defer close(s.done)
-		if err := s.server.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := s.server.Serve(s.listener); !IsEnd(err) {
 			s.log.Error(err, "listener ended", "addr", addr)
 		}
 		<-swept
@@ -105,17 +97,6 @@
 	})
 }
 
-// change follows the state of a connection.
-func (s *Server) change(c net.Conn, state http.ConnState) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if state == http.StateClosed || state == http.StateHijacked {
-		delete(s.conns, c)
-		return
-	}
-	s.conns[c] = connState{state: state, since: s.clock.Now()}
-}
-
 // sweep closes connections that were idle for too long.
 func (s *Server) sweep(ctx context.Context) {
 	ticker := s.clock.NewTicker(sweepTime)
@@ -130,41 +111,21 @@
 		if limit <= 0 {
 			continue
 		}
-		now := s.clock.Now()
-		s.mu.Lock()
-		for c, state := range s.conns {
-			if state.state == http.StateIdle && now.Sub(state.since) > limit {
-				_ = c.Close()
-			}
-		}
-		s.mu.Unlock()
+		s.conns.CloseIdle(limit)
 	}
 }
 
 // Active returns the number of connections with a request under way.
-func (s *Server) Active() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	n := 0
-	for _, state := range s.conns {
-		if state.state == http.StateActive || state.state == http.StateNew {
-			n++
-		}
-	}
-	return n
-}
+func (s *Server) Active() int { return s.conns.Active() }
 
 // Drain serves what waits in the accept queue, takes no more connections and ends
 // when no request is under way. It returns an error when ctx ends first.
 func (s *Server) Drain(ctx context.Context) error {
 	s.Part()
 	s.stop()
-	if err := s.listener.Empty(ctx); err != nil {
+	if err := End(ctx, s.server, s.listener, s.conns); err != nil {
 		return err
 	}
-	if err := s.server.Shutdown(ctx); err != nil {
-		return fmt.Errorf("end requests on %s: %w", s.listener.Addr(), err)
-	}
 	<-s.done
 	return nil
 }
