Give no keys to oneself: end storms of table writes

A member whose load has just fallen took itself for a taker, released a range to itself, and wrote the handover from itself to itself over and over (1,823 writes from 15 s on, 50 to 66 a second by each of three members), since the range stays its own.

Change: the takers of an excess are other members.

TestMovesGoToOthers fails.

--- a/plan/balance.go
+++ b/plan/balance.go
@@ -129,7 +129,8 @@
 	}
 	var takers []Member
 	for _, m := range members {
-		if (m.room()*level-m.Offered)*takePart >= leastRate && m.Rows < maxRows {
+		// The member's own excess may be that of its mean, with room at the moment.
+		if m.Host != self && (m.room()*level-m.Offered)*takePart >= leastRate && m.Rows < maxRows {
 			takers = append(takers, m)
 		}
 	}
--- a/plan/plan_test.go
+++ b/plan/plan_test.go
@@ -360,6 +360,27 @@
 	c.Check(len(takers) <= 5, qt.IsTrue, qt.Commentf("%d takers", len(takers)))
 }
 
+// A member whose mean load is too high keeps its keys from itself, also while its
+// load of the moment would leave room.
+func TestMovesGoToOthers(t *testing.T) {
+	c := qt.New(t)
+	steady := plan.NewSteady()
+	start := time.Unix(0, 0)
+	for i := range 50 {
+		steady.Add(start.Add(time.Duration(i)*100*time.Millisecond), 80)
+	}
+	heat := evenHeat(3200, 80)
+	members := []plan.Member{
+		{Host: "a", Offered: 20, Capacity: 60, Slots: 18, Rows: 1, Steady: steady},
+		{Host: "b", Offered: 20, Capacity: 60, Slots: 18, Rows: 1},
+	}
+	pieces := plan.Moves("a", []atlas.Row{{Span: atlas.NewSpan(0, 9999)}}, heat, members)
+	for _, p := range pieces {
+		c.Check(p.To, qt.Equals, ident.Host("b"))
+	}
+	c.Assert(len(pieces) > 0, qt.IsTrue)
+}
+
 // An excess that is within the noise of one second of calls is moved once it was
 // there for several: an upstream that is slower than others has such an excess for
 // good. Chance alone moves nothing.
