--- a/upstrm/executor.go
+++ b/upstrm/executor.go
@@ -47,6 +47,7 @@
 	tripper    http.RoundTripper
 	silence    time.Duration
 	hard       time.Duration
+	conns      int
 	crashed    func(*wire.Suspects)
 
 	target  atomic.Pointer[target]
@@ -111,6 +112,9 @@
 // slow callers do not take the upstream's slots.
 func WithMemory(bytes int64) Option { return func(x *Executor) { x.memory.limit = bytes } }
 
+// WithConns bounds the connections to the upstream, also where it announces more.
+func WithConns(n int) Option { return func(x *Executor) { x.conns = n } }
+
 // WithCrashes sets who is given the suspects after a crash of the upstream. It
 // must not block.
 func WithCrashes(report func(*wire.Suspects)) Option {
@@ -128,6 +132,7 @@
 		sink:    events.Discard{},
 		silence: defaultSilence,
 		hard:    defaultHard,
+		conns:   defaultConns,
 		crashed: func(*wire.Suspects) {},
 		memory:  memory{limit: defaultMemory},
 		flights: newFlights(),
--- a/upstrm/stream_test.go
+++ b/upstrm/stream_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"runtime"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -15,6 +17,7 @@
 
 	"github.com/monsoonmoor/monsoonmoor/admit"
 	"github.com/monsoonmoor/monsoonmoor/caller"
+	"github.com/monsoonmoor/monsoonmoor/calls"
 	"github.com/monsoonmoor/monsoonmoor/grant"
 	"github.com/monsoonmoor/monsoonmoor/route"
 	"github.com/monsoonmoor/monsoonmoor/upstrm"
@@ -112,3 +115,54 @@
 		})
 	}
 }
+
+// TestConnectionsAreBounded runs calls at once at an upstream that announces how
+// many connections it takes, behind a bound of the daemon's own.
+func TestConnectionsAreBounded(t *testing.T) {
+	const atOnce = 6
+	for _, tt := range []struct {
+		name             string
+		announced, bound int
+		want             int32
+	}{
+		{name: "the daemon's bound", announced: 4, bound: 2, want: 2},
+		{name: "the upstream's number", announced: 3, bound: 5, want: 3},
+		{name: "none announced", announced: 0, bound: 2, want: 2},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			var opened, running atomic.Int32
+			full := make(chan struct{})
+			server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				// The first calls are held until all connections are in use.
+				if running.Add(1) == tt.want {
+					close(full)
+				}
+				<-full
+				w.WriteHeader(http.StatusNoContent)
+			}))
+			server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+				if state == http.StateNew {
+					opened.Add(1)
+				}
+			}
+			server.Start()
+			defer server.Close()
+			v := newView()
+			x := upstrm.New(func() upstrm.View { return v }, upstrm.WithHost("a"), upstrm.WithConns(tt.bound))
+			defer func() { _ = x.Close() }()
+			c.Assert(x.Attach(grant.Announcement{
+				Service: service, Instance: "one", URL: server.URL, Slots: 20, Conns: tt.announced, Checks: true,
+			}), qt.IsNil)
+			var all sync.WaitGroup
+			for i := range atOnce {
+				all.Go(func() {
+					kind, reason, _ := outcome(x, newCall(http.MethodGet, "r"+strconv.Itoa(i), ""))
+					c.Check(kind, qt.Equals, calls.Answered, qt.Commentf("%s", reason))
+				})
+			}
+			all.Wait()
+			c.Assert(opened.Load(), qt.Equals, tt.want)
+		})
+	}
+}
--- a/upstrm/target.go
+++ b/upstrm/target.go
@@ -114,10 +114,12 @@
 	return t, nil
 }
 
-// newTransport returns a transport that opens at most conns connections.
-func (t *target) newTransport(x *Executor, conns int) *http.Transport {
-	if conns <= 0 {
-		conns = defaultConns
+// newTransport returns a transport that opens at most as many connections as the
+// upstream announces, where it does, and as the executor may.
+func (t *target) newTransport(x *Executor, announced int) *http.Transport {
+	conns := x.conns
+	if announced > 0 {
+		conns = min(conns, announced)
 	}
 	dialer := &net.Dialer{Timeout: defaultDial}
 	return &http.Transport{
