--- a/core/machine.go
+++ b/core/machine.go
@@ -174,7 +174,7 @@
 // do. While it is on the stream its slots wait for it to say that it is out,
 // unless there is no log to say it to.
 func (m *Machine) isDrained() bool {
-	return m.moves.draining && m.allIdle() && !(m.logUp && m.table.Live(m.self.Inc))
+	return m.moves.draining && m.allIdle() && (!m.logUp || !m.table.Live(m.self.Inc))
 }
 
 // isNeeded reports whether some member that renews its lease here has named
