End a server in order also when its listener fails to close

Cause, found while reading: with no file descriptor left, taking connections out of the accept queue fails, and the end of the server returned at once, with requests under way. Change: the error is told after these have ended. The new test failed before.

--- a/listen/conns.go
+++ b/listen/conns.go
@@ -112,13 +112,11 @@
 	if err := queue.Empty(ctx); err != nil {
 		return err
 	}
-	if err := queue.Close(); err != nil {
-		return fmt.Errorf("close listener on %s: %w", queue.Addr(), err)
-	}
+	closed := queue.Close()
 	if err := conns.Quiet(ctx); err != nil {
-		return fmt.Errorf("end server on %s: %w", queue.Addr(), err)
+		return errors.Join(closed, fmt.Errorf("end server on %s: %w", queue.Addr(), err))
 	}
-	if err := server.Shutdown(ctx); err != nil {
+	if err := errors.Join(closed, server.Shutdown(ctx)); err != nil {
 		return fmt.Errorf("end server on %s: %w", queue.Addr(), err)
 	}
 	return nil
--- a/listen/queue_test.go
+++ b/listen/queue_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -158,3 +159,51 @@
 		}
 	}
 }
+
+// failing is a listener that can't be closed without an error.
+type failing struct{ net.Listener }
+
+var errClose = errors.New("close fails")
+
+// Close implements net.Listener.
+func (l failing) Close() error { return errors.Join(l.Listener.Close(), errClose) }
+
+// A server whose listener fails to close ends after the request that is under way.
+func TestEndGoesOnWhenTheListenerFails(t *testing.T) {
+	c := qt.New(t)
+	ctx, cancel := context.WithTimeout(context.Background(), within)
+	defer cancel()
+	clock := clockwork.NewRealClock()
+	inner, err := net.Listen("tcp4", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	queue, conns := listen.NewQueue(failing{inner}, clock), listen.NewConns(clock)
+	begun, closed := make(chan struct{}), make(chan struct{})
+	server := &http.Server{ReadHeaderTimeout: within, ConnState: conns.Change, Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		close(begun)
+		<-closed
+	})}
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(queue) }()
+	status := make(chan int, 1)
+	go func() {
+		response, err := http.Get("http://" + inner.Addr().String())
+		if err != nil {
+			status <- 0
+			return
+		}
+		_ = response.Body.Close()
+		status <- response.StatusCode
+	}()
+	<-begun
+	ended := make(chan error, 1)
+	go func() { ended <- listen.End(ctx, server, queue, conns) }()
+	c.Assert(listen.IsEnd(<-served), qt.IsTrue)
+	select {
+	case err := <-ended:
+		c.Fatalf("ended with a request under way: %v", err)
+	case <-time.After(5 * quietTime):
+	}
+	close(closed)
+	c.Assert(<-status, qt.Equals, http.StatusOK)
+	c.Assert(<-ended, qt.ErrorIs, errClose)
+}
