Put the logs of a fleet together: monsoonmoor logs

Package course reads logs of many daemons, sums them in steps of time (requests by outcome, latency, ranges handed over, table writes and lost races, what happened), draws the course, and finds all lines about a request and about those sent for it.

Weighed: a page as of the standalone time line, which needs daemons that answer; logs outlive them.

--- a/cmds/main.go
+++ b/cmds/main.go
@@ -59,6 +59,7 @@
 	Genesis    genesisCmd    `cmd:"" help:"Start settings anew after the log has lost them all."`
 	Status     statusCmd     `cmd:"" help:"Show members, owners, leases, load and settings."`
 	Timeline   timelineCmd   `cmd:"" help:"Show what happened, merged from all daemons."`
+	Logs       logsCmd       `cmd:"" help:"Put the logs of a fleet together: the course of a day, or of one request."`
 	Drain      drainCmd      `cmd:"" help:"Make a daemon give its slots away and leave."`
 	Evict      evictCmd      `cmd:"" help:"Declare a member gone for good."`
 	Quarantine quarantineCmd `cmd:"" help:"Show or lift the quarantine of requests."`
