--- a/course/course_test.go
+++ b/course/course_test.go
@@ -45,6 +45,19 @@
 `)
 }
 
+func TestCourseOfDaemonsWithALog(t *testing.T) {
+	c := qt.New(t)
+	out := course.New(time.Second)
+	c.Assert(out.Read(strings.NewReader(`time=2026-12-04T10:00:00.1Z level=info msg=lapse clock=18ee host=dallas-1
+time=2026-12-04T10:00:00.2Z level=info msg=takeover clock=18ee host=dallas-5 service=rounds-desk slots=1-4069 count=194
+time=2026-12-04T10:00:00.3Z level=info msg=move clock=18ee host=dallas-5 service=rounds-desk slots=1-7 count=4 member=dallas-1~2
+time=2026-12-04T10:00:00.4Z level=info msg=peer clock=18ee host=dallas-5
+`), "file"), qt.IsNil)
+	var b strings.Builder
+	c.Assert(out.WriteText(&b), qt.IsNil)
+	c.Assert(b.String(), qt.Contains, "  4      0       0      lapse, takeover\n")
+}
+
 func TestTrace(t *testing.T) {
 	tests := []struct {
 		request string
--- a/course/step.go
+++ b/course/step.go
@@ -24,8 +24,8 @@
 	// that the caller asked.
 	answered, refused, unknown int
 	took                       *hdrhistogram.Histogram
-	// moved counts ranges that were handed over, writes those of the ownership table
-	// that took effect, lost those that others were faster with.
+	// moved counts ranges or slots that were handed over, writes those of the
+	// ownership table that took effect, lost those that others were faster with.
 	moved, writes, lost int
 	events              map[string]int
 }
@@ -37,20 +37,24 @@
 	}
 }
 
-// notable are the messages that a course names. Others are counted, or left out.
+// notable are the messages that a course names, first those of a fleet with a
+// store, then those of daemons with a log. Others are counted, or left out.
 var notable = []string{
 	"started", "signal", "stopping", "stopped", "settings read", "settings not read",
 	"store lost", "store regained", "configuration in force",
 	"upstream announced", "upstream began", "upstream down", "upstream lost", "upstream leaves", "upstream crashed",
 	"readiness for callers changed", "request quarantined", "member suspected", "taking over", "assigning keys without owner",
 	"joining", "resuming ranges", "naming witnesses", "leaving", "move given up", "log lines dropped",
+
+	"daemon started", "daemon ended", "log", "settings", "upstream", "upstream instance changed", "connection silent",
+	"lease", "lapse", "restart", "claim", "vote", "fenced", "takeover", "leave", "evict", "drain", "void", "pin", "quarantine", "shed",
 }
 
 func (s *Step) add(l Line) {
 	switch msg := l.Value("msg"); msg {
 	case "request":
 		s.addRequest(l)
-	case "handing over":
+	case "handing over", "move":
 		s.moved += l.count("count")
 	case "ownership table written":
 		switch l.Value("outcome") {
