--- a/daemon/listeners.go
+++ b/daemon/listeners.go
@@ -36,7 +36,7 @@
 		if err != nil {
 			return fmt.Errorf("listen for %s: %w", l.name, err)
 		}
-		l.bound, l.conns = listen.NewQueue(bound, clock), listen.NewConns(clock)
+		l.bound, l.conns = listen.NewQueue(bound), listen.NewConns(clock)
 		l.follow()
 		s.all = append(s.all, l)
 	}
--- a/listen/server.go
+++ b/listen/server.go
@@ -63,7 +63,7 @@
 		opt(s)
 	}
 	s.conns = NewConns(s.clock)
-	s.listener = NewQueue(inner, s.clock)
+	s.listener = NewQueue(inner)
 	s.server = &http.Server{
 		Handler: s.part(handler), ReadHeaderTimeout: headerTime, MaxHeaderBytes: maxHeader, ConnState: s.conns.Change,
 	}
