--- a/listen/doc.go
+++ b/listen/doc.go
@@ -1,7 +1,7 @@
 // Package listen serves HTTP on an address and ends without cutting a request
-// short: connections that wait in the accept queue are served before the listener
-// closes, a connection is closed only after its answer, and idle connections stay
-// for as long as callers may use them.
+// short: connections that wait in the accept queue are served although the listener
+// closes, a connection with a request is closed only after its answer, and idle
+// connections stay for as long as callers may use them, until the server ends.
 //
 // # Usage
 //
