Grant keys by calls to upstreams that take them so

Cause: deployments whose settings say grants = "call" were granted no key: the daemon knew only grants in the answers to heartbeats, and ignored the setting. Their upstreams answered every keyed request with 421.

Change: package holds tracks what an upstream may hold when grants and releases are separate calls, with an earliest and a latest end of each grant; the owner state machine returns the calls that are due, mesh makes them, platform/keys.go translates. Ownership, leases and fencing tokens stay as they are. The simulation of owner plays both forms, with answers lost and calls carried out late.

The simulation ended a write as refused although an earlier attempt of it had no answer; the daemon repeats such a write until its result is known.

--- a/mesh/apply.go
+++ b/mesh/apply.go
@@ -32,6 +32,7 @@
 		{"peers", old.PeerAddr != s.PeerAddr},
 		{"interval", old.Interval != s.Interval},
 		{"hold", old.MaxGrant != s.MaxGrant},
+		{"grants", old.GrantsByCall != s.GrantsByCall},
 		{"drain", old.Drain != s.Drain},
 		{"window", old.RetryWindow != s.RetryWindow},
 	} {
--- a/mesh/counts.go
+++ b/mesh/counts.go
@@ -6,6 +6,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/monsoonmoor/monsoonmoor/calls"
+	"github.com/monsoonmoor/monsoonmoor/holds"
 	"github.com/monsoonmoor/monsoonmoor/owner"
 )
 
@@ -23,6 +24,7 @@
 	answered, failed, notRun, unknown tally.Counter
 	latency, refusal                  tally.Histogram
 	writes                            map[owner.Outcome]tally.Counter
+	commands                          map[holds.Outcome]tally.Counter
 }
 
 func newMetrics(scope tally.Scope) metrics {
@@ -35,12 +37,16 @@
 		latency:  scope.Histogram("mesh_answer_seconds", buckets),
 		refusal:  scope.Histogram("mesh_refusal_seconds", buckets),
 		writes:   make(map[owner.Outcome]tally.Counter),
+		commands: make(map[holds.Outcome]tally.Counter),
 	}
 	for outcome, name := range map[owner.Outcome]string{
 		owner.Written: "written", owner.Lost: "lost", owner.Refused: "refused", owner.Unknown: "unknown",
 	} {
 		c.writes[outcome] = scope.Counter("mesh_table_" + name)
 	}
+	for _, outcome := range []holds.Outcome{holds.Accepted, holds.Refused, holds.Unanswered, holds.Unsent} {
+		c.commands[outcome] = scope.Counter("mesh_command_" + outcome.String())
+	}
 	return c
 }
 
--- a/mesh/crashes.go
+++ b/mesh/crashes.go
@@ -46,8 +46,8 @@
 		}
 	}
 	n.inFlight.remove(n.clock.Now(), fingerprint, end == poison.Lost)
-	if err != nil && calls.AsError(err).Reason() == calls.ReasonUpstreamLost {
-		n.requestProbe()
+	if err != nil {
+		n.recordUpstreamFailure(call, calls.AsError(err).Reason())
 	}
 	if pass.Leave(end) {
 		n.sendSuspects([]uint64{fingerprint})
@@ -95,3 +95,18 @@
 		}
 	}
 }
+
+// recordUpstreamFailure records what a failed call shows about the upstream.
+func (n *Node) recordUpstreamFailure(call *calls.Call, reason calls.Reason) {
+	switch {
+	case reason == calls.ReasonUpstreamLost:
+		n.requestProbe()
+	case reason == calls.ReasonFenced && call.Ordered:
+		n.mu.Lock()
+		if n.machine != nil {
+			n.machine.RecordNotHeld(call.Point)
+		}
+		n.mu.Unlock()
+		n.requestReconcile()
+	}
+}
--- a/mesh/desk.go
+++ b/mesh/desk.go
@@ -182,7 +182,7 @@
 // holdAnswer returns a channel that is closed when the grants should change; nil when
 // the heartbeat must be answered at once. It is called with mu held.
 func (n *Node) holdAnswer(now time.Time) chan struct{} {
-	if n.machine == nil || n.machine.IsReleasing() || n.machine.WantsGrant(now) {
+	if n.machine == nil || n.machine.ByCalls() || n.machine.IsReleasing() || n.machine.WantsGrant(now) {
 		return nil
 	}
 	n.upstream.pendingAnswer = make(chan struct{})
--- a/mesh/fleet_test.go
+++ b/mesh/fleet_test.go
@@ -17,6 +17,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/monsoonmoor/monsoonmoor/calls"
+	"github.com/monsoonmoor/monsoonmoor/holds"
 	"github.com/monsoonmoor/monsoonmoor/ident"
 	"github.com/monsoonmoor/monsoonmoor/mesh"
 	"github.com/monsoonmoor/monsoonmoor/owner"
@@ -60,7 +61,7 @@
 	upstream *httptest.Server
 
 	mu   sync.Mutex
-	rows []owner.Granted
+	rows []holds.Range
 	ran  int
 	stop context.CancelFunc
 }
--- a/mesh/gossip.go
+++ b/mesh/gossip.go
@@ -284,7 +284,11 @@
 	if a.SendGrant {
 		n.notify()
 	}
+	commands, upstream := n.machine.Commands(now), n.upstream.id
 	n.mu.Unlock()
+	for _, cmd := range commands {
+		n.spawn(func() { n.runCommand(upstream, cmd) })
+	}
 	for i, m := range a.Messages {
 		if to[i] != "" {
 			n.socket.Send(to[i], m.Message)
--- a/mesh/ports.go
+++ b/mesh/ports.go
@@ -27,6 +27,8 @@
 	Store   store.Port
 	Dialect upconn.Dialect
 	Config  ConfigSource
+	// Keys is used if Settings.GrantsByCall is set.
+	Keys KeyCalls
 }
 
 // Peers sends requests to other daemons. *peers.Web implements it.
--- a/mesh/settings.go
+++ b/mesh/settings.go
@@ -28,6 +28,9 @@
 	Interval time.Duration
 	// MaxGrant limits the length of grants; zero stands for no limit.
 	MaxGrant time.Duration
+	// GrantsByCall is set if the upstream is granted keys by calls to it, instead of
+	// by the answers to its heartbeats.
+	GrantsByCall bool
 	// Drain is how long calls may still be sent to a leaving upstream.
 	Drain time.Duration
 	// RetryRatio and RetrySlack limit the retried calls that reach upstreams, for the
--- a/mesh/tables.go
+++ b/mesh/tables.go
@@ -80,9 +80,14 @@
 	t := &table{service: service, current: atlas.New(service)}
 	n.tables[service] = t
 	if service == n.settings.Service && n.machine == nil {
-		n.machine = owner.New(n.self, service, n.clock.Now(),
+		opts := []owner.Option{
 			owner.WithTerms(n.settings.leaseTerms()), owner.WithHold(n.settings.grantLength()),
-			owner.WithHeat(n.upstreamKeyRates, n.callerKeyRates), owner.WithSeed(n.self.Boot))
+			owner.WithHeat(n.upstreamKeyRates, n.callerKeyRates), owner.WithSeed(n.self.Boot),
+		}
+		if n.settings.GrantsByCall {
+			opts = append(opts, owner.WithCalls())
+		}
+		n.machine = owner.New(n.self, service, n.clock.Now(), opts...)
 	}
 	t.follower = store.Follow(n.ports.Store, topicOf(service),
 		func(item store.Item) { n.receiveTable(service, item.Offset+1, item.Value, "store") },
--- a/owner/heartbeat.go
+++ b/owner/heartbeat.go
@@ -5,12 +5,10 @@
 	"time"
 
 	"github.com/monsoonmoor/monsoonmoor/atlas"
+	"github.com/monsoonmoor/monsoonmoor/holds"
 )
 
 const (
-	// clockSlack is the fraction by which the clock of an upstream may run
-	// slow.
-	clockSlack = 0.02
 	// leaseMargin separates the end of a grant from the end of the lease, to
 	// allow for the time that the answer to the heartbeat takes to arrive.
 	leaseMargin = 50 * time.Millisecond
@@ -49,6 +47,9 @@
 		m.fenceOffset++
 	}
 	m.upstream = upstream{life: hb.Life, id: hb.ID}
+	if m.book != nil {
+		m.book.Reset()
+	}
 	for _, r := range m.releases {
 		r.withdrawn = false
 	}
@@ -79,7 +80,7 @@
 				r.tokens = append(r.tokens, Released{Span: cut, Token: freed.Token})
 			}
 		}
-		if !r.done && r.withdrawn && hb.Number > r.afterHeartbeat && !holdsAny(hb.Holds, r.span) {
+		if m.book == nil && !r.done && r.withdrawn && hb.Number > r.afterHeartbeat && !holdsAny(hb.Holds, r.span) {
 			r.done, r.doneAt = true, now
 		}
 	}
@@ -97,7 +98,7 @@
 // Grant returns the answer to the last heartbeat, as of now.
 func (m *Machine) Grant(now time.Time) Grant {
 	u := &m.upstream
-	if !m.hasTable || !u.present {
+	if !m.hasTable || !u.present || m.book != nil {
 		return Grant{}
 	}
 	member, ok := m.table.Member(m.host)
@@ -107,38 +108,45 @@
 		return Grant{Known: true}
 	}
 	left := m.leaseEnd().Sub(now) - leaseMargin
-	hold := min(m.maxHold, time.Duration(float64(left)/(1+clockSlack)))
+	hold := min(m.maxHold, time.Duration(float64(left)/(1+holds.ClockSlack)))
 	if member.Inc != m.Lease() || hold <= 0 {
 		return Grant{}
 	}
-	g := Grant{Known: true, Hold: hold.Truncate(time.Millisecond)}
+	g := Grant{Known: true, Hold: hold.Truncate(time.Millisecond), Rows: m.wantedRanges()}
+	if len(g.Rows) > maxGrantedRanges {
+		m.note("more ranges than an answer holds", "rows", len(g.Rows), "granted", maxGrantedRanges)
+		g.Rows = g.Rows[:maxGrantedRanges]
+	}
+	m.noteGrant(g, now)
+	u.granted = g.Rows
+	u.grantedUntil = now.Add(time.Duration(float64(g.Hold) * (1 + holds.ClockSlack)))
+	return g
+}
+
+// wantedRanges returns the ranges that the upstream is to hold: those of this
+// member without the ones that it gives away, which are marked as withdrawn.
+func (m *Machine) wantedRanges() []holds.Range {
 	leaving := m.proposedAway()
 	for _, r := range m.releases {
 		leaving = append(leaving, r.span)
 		if !r.withdrawn {
-			r.withdrawn, r.afterHeartbeat = true, u.number
+			r.withdrawn, r.afterHeartbeat = true, m.upstream.number
 		}
 	}
+	var ranges []holds.Range
 	for _, row := range m.table.RowsOf(m.host) {
 		for _, span := range atlas.Subtract([]atlas.Span{row.Span}, leaving) {
-			g.Rows = append(g.Rows, m.grantFor(row, span))
+			ranges = append(ranges, m.grantFor(row, span))
 		}
 	}
-	if len(g.Rows) > maxGrantedRanges {
-		m.note("more ranges than an answer holds", "rows", len(g.Rows), "granted", maxGrantedRanges)
-		g.Rows = g.Rows[:maxGrantedRanges]
-	}
-	m.noteGrant(g, now)
-	u.granted = g.Rows
-	u.grantedUntil = now.Add(time.Duration(float64(g.Hold) * (1 + clockSlack)))
-	return g
+	return ranges
 }
 
 // WantsGrant reports whether the grants have changed, so that the upstream
 // should get an answer now rather than with its next heartbeat.
 func (m *Machine) WantsGrant(now time.Time) bool {
 	u := &m.upstream
-	if !m.hasTable || !u.present {
+	if !m.hasTable || !u.present || m.book != nil {
 		return false
 	}
 	for _, r := range m.releases {
@@ -185,7 +193,7 @@
 		"beat_age", now.Sub(m.upstream.lastHeartbeat).Round(time.Millisecond).String())
 }
 
-func grantedSpans(rows []Granted) []atlas.Span {
+func grantedSpans(rows []holds.Range) []atlas.Span {
 	spans := make([]atlas.Span, 0, len(rows))
 	for _, g := range rows {
 		spans = append(spans, g.Span)
@@ -232,8 +240,8 @@
 }
 
 // grantFor returns the grant of span, which is a subrange of row.
-func (m *Machine) grantFor(row atlas.Row, span atlas.Span) Granted {
-	g := Granted{Span: span, Fence: row.Fence + m.fenceOffset, Token: row.Token}
+func (m *Machine) grantFor(row atlas.Row, span atlas.Span) holds.Range {
+	g := holds.Range{Span: span, Fence: row.Fence + m.fenceOffset, Token: row.Token}
 	for _, h := range m.upstream.holds {
 		if h.Fence == g.Fence && h.Span.From <= span.From && h.Span.To >= span.To {
 			// The upstream holds the range already, so it has used the handover
@@ -249,11 +257,17 @@
 // reassigned once its grants have expired.
 func (m *Machine) UpstreamDown(now time.Time, sure bool) {
 	u := &m.upstream
+	if !sure && m.answersCalls(now) {
+		return
+	}
 	if u.present || (sure && !u.ended) {
 		m.note("upstream down", "id", u.id, "sure", sure, "granted_until", max(0, u.grantedUntil.Sub(now)))
 	}
 	u.present = false
 	u.ended = u.ended || sure
+	if sure && m.book != nil {
+		m.book.Reset()
+	}
 }
 
 // holdsNothing reports whether the upstream certainly holds no keys any more.
@@ -265,11 +279,12 @@
 	if u.ended {
 		return true
 	}
-	// An earlier run of the daemon may have granted keys just before this run
-	// started.
-	until := m.started.Add(time.Duration(float64(m.maxHold) * (1 + 2*clockSlack)))
+	until := m.earlierGrantsEnd()
 	if u.grantedUntil.After(until) {
 		until = u.grantedUntil
 	}
+	if m.book != nil && m.book.End(now).After(until) {
+		until = m.book.End(now)
+	}
 	return now.After(until)
 }
--- a/owner/machine.go
+++ b/owner/machine.go
@@ -7,6 +7,7 @@
 
 	"github.com/monsoonmoor/monsoonmoor/atlas"
 	"github.com/monsoonmoor/monsoonmoor/gossip"
+	"github.com/monsoonmoor/monsoonmoor/holds"
 	"github.com/monsoonmoor/monsoonmoor/ident"
 	"github.com/monsoonmoor/monsoonmoor/lease"
 	"github.com/monsoonmoor/monsoonmoor/plan"
@@ -21,6 +22,7 @@
 	service    ident.Service
 	terms      lease.Terms
 	maxHold    time.Duration
+	byCalls    bool
 	ownRates   *plan.Heat
 	fleetRates *plan.Heat
 	rng        *rand.Rand
@@ -32,6 +34,11 @@
 	hasTable bool
 	holder   *lease.Holder
 	upstream upstream
+	// book tracks the grants of an upstream that takes them by calls; nil if it
+	// takes them in the answers to its heartbeats.
+	book *holds.Book
+	// firstBoot is the boot of the first lease identity of this run.
+	firstBoot uint64
 	// fenceOffset counts the lives of the upstream that this daemon saw end; it
 	// is reset once all ranges were assigned anew. The fencing token of a grant
 	// is the row's token plus this offset.
@@ -100,7 +107,7 @@
 	holds    []Held
 	// granted holds the ranges in the last answer; grantedUntil is when they
 	// expire by this daemon's clock.
-	granted      []Granted
+	granted      []holds.Range
 	grantedUntil time.Time
 	// ended is set when the upstream is known to have ended.
 	ended bool
@@ -147,6 +154,10 @@
 	return func(m *Machine) { m.ownRates, m.fleetRates = own, fleet }
 }
 
+// WithCalls makes the machine grant keys by calls to the upstream, which Commands
+// returns, instead of by answers to its heartbeats.
+func WithCalls() Option { return func(m *Machine) { m.byCalls = true } }
+
 // WithSeed seeds the random delays that spread the members' attempts to write.
 func WithSeed(seed uint64) Option {
 	return func(m *Machine) { m.rng = rand.New(rand.NewPCG(seed, seed)) }
@@ -155,7 +166,7 @@
 // New returns the machine of a daemon run that starts now.
 func New(self ident.Incarnation, service ident.Service, now time.Time, opts ...Option) *Machine {
 	m := &Machine{
-		host: self.Host, boot: self.Boot, service: service,
+		host: self.Host, boot: self.Boot, firstBoot: self.Boot, service: service,
 		terms: lease.DefaultTerms(), maxHold: lease.DefaultLength,
 		ownRates: plan.NewHeat(), fleetRates: plan.NewHeat(),
 		rng:      rand.New(rand.NewPCG(self.Boot, 1)),
@@ -170,6 +181,9 @@
 		opt(m)
 	}
 	m.holder = lease.NewHolder(m.terms)
+	if m.byCalls {
+		m.book = holds.New(m.maxHold)
+	}
 	return m
 }
 
@@ -281,6 +295,12 @@
 			return KeyReleasing, r.to
 		}
 	}
+	if m.book != nil {
+		if m.book.Held(now, p) {
+			return KeyHeld, ""
+		}
+		return KeyPending, ""
+	}
 	if !now.Before(m.upstream.grantedUntil) {
 		return KeyPending, ""
 	}
@@ -298,10 +318,13 @@
 	return m.upstream.id, m.upstream.present, m.upstream.leaving
 }
 
+// ByCalls reports whether keys are granted by calls to the upstream.
+func (m *Machine) ByCalls() bool { return m.book != nil }
+
 // IsReleasing reports whether the upstream was told to release keys and has not
 // yet confirmed it.
 func (m *Machine) IsReleasing() bool {
-	return slices.ContainsFunc(m.releases, func(r *release) bool { return r.withdrawn && !r.done })
+	return m.book == nil && slices.ContainsFunc(m.releases, func(r *release) bool { return r.withdrawn && !r.done })
 }
 
 // Stop makes the member give away all its keys, because the daemon is shutting
--- a/owner/propose.go
+++ b/owner/propose.go
@@ -85,7 +85,7 @@
 // return true when there is none; then the table is only read once more.
 func (m *Machine) mayPropose(now time.Time) bool {
 	return m.mustWriteHandovers(now) || len(m.requests) > 0 || len(m.suspects) > 0 ||
-		!m.unownedSince.IsZero() || m.holdsNothing(now) || m.IsMember() != m.canOwnKeys() || m.needsWitnesses(now)
+		!m.unownedSince.IsZero() || m.holdsNothing(now) || m.IsMember() != m.canOwnKeys() || m.needsWitnesses(now) || len(m.refusedRanges()) > 0
 }
 
 // countWriters returns the number of live daemons of the service, each of which
@@ -111,6 +111,7 @@
 			m.assignMoves(c, m.Lease(), m.dueMoves())
 		}
 		m.proposeUpstreamLoss(now, c)
+		m.proposeNewFences(c)
 	}
 	m.proposeLeave(now, c)
 	if m.IsMember() || c.Changed() {
@@ -164,7 +165,7 @@
 // ranges that an earlier run of this daemon owned. It keeps them if it still
 // holds all of these ranges; otherwise the ranges get new tokens.
 func (m *Machine) proposeResume(c *atlas.Change) {
-	resumed := m.upstreamHoldsRows()
+	resumed := m.canResume()
 	if !resumed {
 		c.RenewFences(m.host)
 	}
--- a/owner/types.go
+++ b/owner/types.go
@@ -5,6 +5,7 @@
 
 	"github.com/monsoonmoor/monsoonmoor/atlas"
 	"github.com/monsoonmoor/monsoonmoor/gossip"
+	"github.com/monsoonmoor/monsoonmoor/holds"
 	"github.com/monsoonmoor/monsoonmoor/ident"
 )
 
@@ -36,20 +37,12 @@
 	Released []Released
 }
 
-// Granted is a range that the upstream is to hold, with its fencing token and
-// the handover token of the previous holder.
-type Granted struct {
-	Span  atlas.Span
-	Fence atlas.Fence
-	Token string
-}
-
 // Grant is the answer to a heartbeat.
 type Grant struct {
 	// Known is false while the daemon cannot tell what the upstream may hold.
 	// Such an answer neither extends nor withdraws grants.
 	Known bool
-	Rows  []Granted
+	Rows  []holds.Range
 	// Hold is how long the ranges are granted, counted from the time at which
 	// the upstream sent the heartbeat.
 	Hold time.Duration
--- a/owner/upstream_test.go
+++ b/owner/upstream_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/monsoonmoor/monsoonmoor/atlas"
+	"github.com/monsoonmoor/monsoonmoor/holds"
 	"github.com/monsoonmoor/monsoonmoor/owner"
 )
 
@@ -26,7 +27,7 @@
 	u.nextHeartbeat = w.now.Add(interval)
 	hb := owner.Heartbeat{Life: u.life, ID: fmt.Sprint(u.life), Number: u.number, Released: u.released}
 	for _, h := range u.holds {
-		if !w.rules.hideHolds {
+		if !w.rules.hideHolds && !w.rules.byCalls {
 			hb.Holds = append(hb.Holds, owner.Held{Span: h.span, Fence: h.fence})
 		}
 	}
@@ -88,7 +89,7 @@
 
 // checkFence adds a violation if an upstream gets a key under a fencing token
 // that is not higher than that of the previous holder.
-func (w *simulation) checkFence(d *daemon, r owner.Granted) {
+func (w *simulation) checkFence(d *daemon, r holds.Range) {
 	name := fmt.Sprintf("%s/%d", d.host, d.upstream.life)
 	for _, p := range probes {
 		if !r.Span.Contains(p) {
--- a/owner/walk_test.go
+++ b/owner/walk_test.go
@@ -43,14 +43,18 @@
 // and lost writes. It guards against a key with two holders, a fencing token
 // that does not rise, and a key that has no holder after recovery.
 func TestOneHolder(t *testing.T) {
-	for seed := range seedCount(40) {
-		size := 4 + int(seed%5)
-		w := simulate(seed, size, rules{}, 20*time.Second)
-		if len(w.violations) > 0 || w.held() < len(probes) {
-			t.Errorf("seed %d, %d daemons: %d of %d keys held; %s\n%s", seed, size, w.held(), len(probes),
-				strings.Join(w.violations, "; "), tail(w.log, 40))
-			return
-		}
+	for name, r := range map[string]rules{"by heartbeat": {}, "by call": {byCalls: true}} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range seedCount(40) {
+				size := 4 + int(seed%5)
+				w := simulate(seed, size, r, 20*time.Second)
+				if len(w.violations) > 0 || w.held() < len(probes) {
+					t.Errorf("seed %d, %d daemons: %d of %d keys held; %s\n%s", seed, size, w.held(), len(probes),
+						strings.Join(w.violations, "; "), tail(w.log, 40))
+					return
+				}
+			}
+		})
 	}
 }
 
@@ -83,6 +87,9 @@
 		{"writes are conditional", rules{unconditionalWrites: true}},
 		{"clocks are within their bound", rules{slowClocks: true}},
 		{"upstreams say what they still work on", rules{hideHolds: true}},
+		{"votes wait for the lease to end, grants by call", rules{earlyVotes: true, byCalls: true}},
+		{"clocks are within their bound, grants by call", rules{slowClocks: true, byCalls: true}},
+		{"the time of a late grant counts from its arrival", rules{lateHolds: true, byCalls: true}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			for seed := range uint64(200) {
@@ -99,8 +106,13 @@
 // TestCalm starts five daemons without faults. It guards against needless
 // writes: once all keys are held, the table must not change again.
 func TestCalm(t *testing.T) {
-	c := qt.New(t)
-	w := newSimulation(1, 5, rules{})
+	for name, r := range map[string]rules{"by heartbeat": {}, "by call": {byCalls: true}} {
+		t.Run(name, func(t *testing.T) { testCalm(qt.New(t), r) })
+	}
+}
+
+func testCalm(c *qt.C, r rules) {
+	w := newSimulation(1, 5, r)
 	w.lossless = true
 	for w.now.Sub(epoch) < 6*time.Second {
 		w.advance()
--- a/owner/world_store_test.go
+++ b/owner/world_store_test.go
@@ -14,6 +14,9 @@
 	lost     bool
 	done     bool
 	outcome  owner.Outcome
+	// repeated is set when an earlier attempt had no answer: a refusal of this one
+	// does not show that nothing was written.
+	repeated bool
 }
 
 // finishWrite reports the result of its write to a daemon, as the daemon's own
@@ -23,8 +26,10 @@
 	if p == nil || !p.done {
 		return
 	}
-	if p.outcome == owner.Unknown {
-		d.pendingWrite = &write{proposal: p.proposal, at: w.now.Add(w.delay(200)), lost: w.rng.IntN(3) == 0}
+	if p.outcome == owner.Unknown || (p.outcome == owner.Refused && p.repeated) {
+		d.pendingWrite = &write{
+			proposal: p.proposal, at: w.now.Add(w.delay(200)), lost: w.rng.IntN(3) == 0, repeated: true,
+		}
 		return
 	}
 	d.pendingWrite = nil
--- a/owner/world_test.go
+++ b/owner/world_test.go
@@ -40,6 +40,11 @@
 	// hideHolds makes upstreams omit the ranges that they still work on from
 	// their heartbeats.
 	hideHolds bool
+	// lateHolds makes the time of a grant that is carried out late count from then
+	// instead of from its arrival.
+	lateHolds bool
+	// byCalls is no broken rule: keys are granted by calls to the upstreams.
+	byCalls bool
 }
 
 // held is a range that an upstream holds.
@@ -104,6 +109,7 @@
 	delayedWrites  []*write
 	newest         *atlas.Table
 	storeDownUntil time.Time
+	calls          []*keyCall
 	// lossless disables the random loss of datagrams.
 	lossless bool
 	// races counts the writes that lost to another one.
@@ -136,7 +142,11 @@
 func (w *simulation) start(d *daemon) {
 	d.boot = uint64(w.now.UnixMilli())
 	self := ident.NewIncarnation(d.host, d.boot)
-	d.machine = owner.New(self, service, w.now, owner.WithTerms(terms), owner.WithHold(hold), owner.WithSeed(w.rng.Uint64()))
+	opts := []owner.Option{owner.WithTerms(terms), owner.WithHold(hold), owner.WithSeed(w.rng.Uint64())}
+	if w.rules.byCalls {
+		opts = append(opts, owner.WithCalls())
+	}
+	d.machine = owner.New(self, service, w.now, opts...)
 	witnessTerms := terms
 	if w.rules.earlyVotes {
 		witnessTerms.Length = 0
@@ -213,6 +223,7 @@
 		w.heartbeat(d)
 		w.tick(d)
 	}
+	w.runCalls()
 	w.applyWrites()
 	w.check()
 }
@@ -302,6 +313,7 @@
 	if a.Proposal != nil {
 		d.pendingWrite = &write{proposal: a.Proposal, at: w.now.Add(w.delay(40)), lost: w.rng.IntN(10) == 0}
 	}
+	w.sendCommands(d)
 	w.finishWrite(d)
 }
 
--- a/owner/writer.go
+++ b/owner/writer.go
@@ -93,7 +93,7 @@
 	}
 	before, _ := m.table.Member(m.host)
 	return &gossip.Join{
-		Witnesses: m.candidates, Before: before.Inc, Version: m.table.Version(), Renew: !m.upstreamHoldsRows(),
+		Witnesses: m.candidates, Before: before.Inc, Version: m.table.Version(), Renew: !m.canResume(),
 	}
 }
 
