Replace a lost QUIC connection at the next call

Cause: the QUIC library fails the streams of a connection before it cancels the connection's context, so for a moment a dead connection counted as alive and the call after a stateless reset was refused as well.

Change: an error of the connection itself ends its use at once.

--- a/peers/forward.go
+++ b/peers/forward.go
@@ -229,6 +229,10 @@
 
 // fail returns the outcome of a call whose exchange failed with err.
 func (x *exchange) fail(err error) *calls.Error {
+	if isConnectionLost(err) {
+		// The streams of a connection fail before its context is canceled.
+		x.conn.closing.Store(true)
+	}
 	if !x.mayRun.Load() || x.provedNotRun(err) {
 		return notRun(x.ctx, calls.ReasonPeerLost, err)
 	}
@@ -252,6 +256,16 @@
 	return false
 }
 
+// isConnectionLost reports whether the error of a stream means that its connection has
+// ended.
+func isConnectionLost(err error) bool {
+	var reset *quic.StatelessResetError
+	var idle *quic.IdleTimeoutError
+	var transport *quic.TransportError
+	var app *quic.ApplicationError
+	return errors.As(err, &reset) || errors.As(err, &idle) || errors.As(err, &transport) || errors.As(err, &app)
+}
+
 // notRun returns a NotRun error with the reason from failureReason.
 func notRun(ctx context.Context, reason calls.Reason, err error) *calls.Error {
 	return calls.NewNotRun(failureReason(ctx, reason), calls.WithCause(err))
