Limit the head of an upstream's answer to 64 KiB

Cause: the head of an answer was read without a limit, so an upstream that sends bytes without end made its daemon's memory grow until the call's deadline.

--- a/upconn/conn.go
+++ b/upconn/conn.go
@@ -4,7 +4,10 @@
 	"bufio"
 	"errors"
 	"fmt"
+	"io"
+	"math"
 	"net"
+	"net/http"
 	"syscall"
 	"time"
 
@@ -16,6 +19,10 @@
 	// bytes.
 	readBufferSize  = 4 << 10
 	writeBufferSize = 4 << 10
+	// maxHead is the size limit of the head of a response, in bytes. An upstream in
+	// trouble may send bytes without end.
+	maxHead   = 64 << 10
+	unlimited = math.MaxInt
 	// userTimeout is the TCP user timeout, after which the kernel closes a connection
 	// whose sent data is not acknowledged. It is short because the upstream is on the
 	// same host.
@@ -30,8 +37,10 @@
 // conn is one connection to the upstream.
 type conn struct {
 	net.Conn
-	br *bufio.Reader
-	bw *bufio.Writer
+	// input limits what br reads while it reads the head of a response.
+	input *limitedInput
+	br    *bufio.Reader
+	bw    *bufio.Writer
 	// lastUsed is the time when the last exchange ended; zero until then.
 	lastUsed time.Time
 	// idleTimeout is how long the connection may be idle and still be reused, as
@@ -45,12 +54,43 @@
 }
 
 func newConn(c net.Conn, generation uint64) *conn {
+	input := &limitedInput{Reader: c, left: unlimited}
 	return &conn{
-		Conn: c, br: bufio.NewReaderSize(c, readBufferSize), bw: bufio.NewWriterSize(c, writeBufferSize),
+		Conn: c, input: input, br: bufio.NewReaderSize(input, readBufferSize), bw: bufio.NewWriterSize(c, writeBufferSize),
 		unused: true, generation: generation,
 	}
 }
 
+// readHead reads the head of a response, which may have maxHead bytes.
+func (c *conn) readHead(request *http.Request) (*http.Response, error) {
+	c.input.left = maxHead
+	defer func() { c.input.left = unlimited }()
+	response, err := http.ReadResponse(c.br, request)
+	if err != nil {
+		return nil, fmt.Errorf("read answer: %w", err)
+	}
+	return response, nil
+}
+
+// errHeadTooLarge reports a response whose head has more than maxHead bytes.
+var errHeadTooLarge = fmt.Errorf("head of the answer exceeds %d bytes", maxHead)
+
+// limitedInput fails a read after a number of bytes.
+type limitedInput struct {
+	io.Reader
+	left int
+}
+
+// Read implements io.Reader.
+func (l *limitedInput) Read(p []byte) (int, error) {
+	if l.left <= 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err := l.Reader.Read(p[:min(len(p), l.left)])
+	l.left -= n
+	return n, err
+}
+
 // hasNoInput reports whether nothing has arrived on an idle connection. Input on it
 // is either the end of the connection or data that belongs to no request; in both
 // cases it can't be reused. The check peeks at the socket without blocking.
--- a/upconn/exchange.go
+++ b/upconn/exchange.go
@@ -101,9 +101,9 @@
 		go func() { sent <- x.send(request) }()
 	}
 	for range maxResponses {
-		response, err := http.ReadResponse(x.conn.br, request)
+		response, err := x.conn.readHead(request)
 		if err != nil {
-			return nil, x.lostError(ctx, fmt.Errorf("read answer: %w", err))
+			return nil, x.lostError(ctx, err)
 		}
 		if response.StatusCode < http.StatusOK {
 			continue
--- a/upconn/upconn_test.go
+++ b/upconn/upconn_test.go
@@ -310,3 +310,39 @@
 	c.Assert(err, qt.IsNil)
 	c.Assert(s.opened(), qt.Equals, 2)
 }
+
+// TestHeadWithoutEnd has an upstream that sends the head of an answer without end, in
+// one line and in many. The pool must close the connection after a bounded number of
+// bytes and report that the call may have run.
+func TestHeadWithoutEnd(t *testing.T) {
+	for _, test := range []struct{ name, start, block string }{
+		{"one line", "HTTP/1.1 200 OK\r\nX-A: ", strings.Repeat("x", 1<<12)},
+		{"many lines", "HTTP/1.1 200 OK\r\n", strings.Repeat("X-A: b\r\n", 1<<9)},
+		{"no status line", "", strings.Repeat("\xff", 1<<12)},
+		{"interim answers", "", strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", 1<<8)},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			written := make(chan int, 1)
+			s := serve(c, func(conn net.Conn, br *bufio.Reader, _ int) {
+				read(br)
+				n, _ := io.WriteString(conn, test.start)
+				for {
+					more, err := io.WriteString(conn, test.block)
+					n += more
+					if err != nil || n > 64<<20 {
+						written <- n
+						return
+					}
+				}
+			})
+			p := upconn.New(s.listener.Addr().String(), dialect{})
+			defer func() { _ = p.Close() }()
+			_, err := run(c, p, "1")
+			c.Assert(calls.AsError(err).Outcome(), qt.Equals, calls.Unknown)
+			// What the kernel buffers on both sides counts as well.
+			n := <-written
+			c.Assert(n < 16<<20, qt.IsTrue, qt.Commentf("the upstream could write %d bytes", n))
+		})
+	}
+}
