Make grants outlast the calls that begin under them

Cause: an upstream ends a call with 500 when the grant under which it began is over, also if that grant was renewed meanwhile. Grants lasted two heartbeats and 0.7 s; with an answer held back for 0.85 s, 0.75 to 1.6 s were left of one, less than many calls take at slow upstreams of the large deployment. Ruled out: faulty upstreams, since what fails is long at every upstream and most at those with a speed of 1.6.

Change: a grant lasts two heartbeats and the drain time of the settings; grants by call, renewed after a third of their time, one heartbeat less.

--- a/mesh/fleet_test.go
+++ b/mesh/fleet_test.go
@@ -62,8 +62,10 @@
 
 	mu   sync.Mutex
 	rows []holds.Range
-	ran  int
-	stop context.CancelFunc
+	// until is when the rows end; they count from the heartbeat.
+	until time.Time
+	ran   int
+	stop  context.CancelFunc
 }
 
 // freeAddr returns an address on which nothing listens.
@@ -89,6 +91,9 @@
 // interval is the heartbeat interval of a test's upstream.
 const interval = 200 * time.Millisecond
 
+// drain is the drain time of a test's upstream.
+const drain = time.Second
+
 func newHost(c *qt.C, name string, service ident.Service, mem *store.Mem) *host {
 	h := &host{name: ident.Host(name), service: service, peers: freeAddr(c), store: mem}
 	h.upstream = httptest.NewServer(h)
@@ -106,7 +111,7 @@
 func (h *host) startBeside(c *qt.C, life int64, beforeHeartbeats func(node *mesh.Node)) {
 	node, err := mesh.New(mesh.Settings{
 		Host: h.name, Zone: "z", Service: h.service, Upstream: h.upstream.Listener.Addr().String(), PeerAddr: h.peers,
-		Interval: interval, MaxGrant: 10 * time.Second, Drain: time.Second,
+		Interval: interval, MaxGrant: 10 * time.Second, Drain: drain,
 		RetryRatio: 0.2, RetrySlack: 50, RetryWindow: 10 * time.Second,
 	}, mesh.Ports{Store: h.store, Dialect: dialect{}, Config: mesh.ConfigSource{Topic: "op", Key: "config", Decode: decodePlan}})
 	c.Assert(err, qt.IsNil)
@@ -137,7 +142,7 @@
 		g := node.Heartbeat(ctx, hb)
 		if g.Known {
 			h.mu.Lock()
-			h.rows = g.Rows
+			h.rows, h.until = g.Rows, sent.Add(g.Hold)
 			h.mu.Unlock()
 		}
 		time.Sleep(max(0, interval-time.Since(sent)))
--- a/mesh/settings.go
+++ b/mesh/settings.go
@@ -69,18 +69,25 @@
 	// grantHeartbeats is the number of heartbeat intervals that a grant covers: one
 	// heartbeat may be lost, and the answer to the next may be held back.
 	grantHeartbeats = 2
+	// minGrantReserve is the least time that a grant lasts beyond its heartbeats.
+	minGrantReserve = 700 * time.Millisecond
 	// answerHoldShare is the part of the heartbeat interval, and maxAnswerHold the
 	// longest time, for which an answer is held back to deliver a change of grants as
 	// soon as there is one. The upstream accepts an answer for up to a second.
 	answerHoldShare = 0.95
 	maxAnswerHold   = 850 * time.Millisecond
-	// grantReserve is how much longer a grant lasts than its heartbeat intervals.
-	grantReserve = 700 * time.Millisecond
 )
 
-// grantLength returns how long a grant to the upstream lasts.
+// grantLength returns how long a grant to the upstream lasts. An upstream ends the calls
+// that outlast the grant under which they began, also if it was renewed since. So a
+// grant outlasts its renewal by the drain time, which is how long an upstream may need
+// for the calls that it has begun. Grants by call are renewed after a third of their
+// time and need a heartbeat interval less.
 func (s *Settings) grantLength() time.Duration {
-	hold := grantHeartbeats*s.Interval + grantReserve
+	hold := grantHeartbeats*s.Interval + max(s.Drain, minGrantReserve)
+	if s.GrantsByCall {
+		hold -= s.Interval
+	}
 	if s.MaxGrant > 0 {
 		hold = min(hold, s.MaxGrant)
 	}
