Give a machine the heartbeat that came before its configuration

Cause: a daemon that had not read the configuration yet passed no heartbeat to the owner state machine, which did not exist, and answered at once.

Change: the newest heartbeat is replayed to the machine when it is created, and its answer is held back until then.

--- a/mesh/desk.go
+++ b/mesh/desk.go
@@ -50,8 +50,10 @@
 	life       int64
 	id         string
 	lastNumber uint64
-	present    bool
-	leaving    bool
+	// last is the newest heartbeat.
+	last    owner.Heartbeat
+	present bool
+	leaving bool
 	// departed is set when the upstream has given notice that it ends outside a
 	// heartbeat.
 	departed bool
@@ -114,6 +116,7 @@
 		return false, false
 	}
 	d.lastNumber, d.lastHeartbeat, d.present = hb.Number, now, true
+	d.last = hb.Heartbeat
 	if hb.Leaving && !d.leaving {
 		d.leftAt = now
 	}
@@ -180,8 +183,14 @@
 }
 
 // holdAnswer returns a channel that is closed when the grants should change; nil when
-// the heartbeat must be answered at once. It is called with mu held.
+// the heartbeat must be answered at once. Before the first configuration, which may
+// create the machine at any time, the answer is held back too. It is called with mu
+// held.
 func (n *Node) holdAnswer(now time.Time) chan struct{} {
+	if n.machine == nil && n.plans.Plan().Version() == 0 {
+		n.upstream.pendingAnswer = make(chan struct{})
+		return n.upstream.pendingAnswer
+	}
 	if n.machine == nil || n.machine.ByCalls() || n.machine.IsReleasing() || n.machine.WantsGrant(now) {
 		return nil
 	}
@@ -208,6 +217,18 @@
 	}
 }
 
+// replayHeartbeat passes the newest heartbeat to a machine that was created after it, so
+// that the daemon need not wait for the next one. It is called with mu held.
+func (n *Node) replayHeartbeat() {
+	if !n.upstream.present {
+		return
+	}
+	n.machine.Heartbeat(n.upstream.lastHeartbeat, n.upstream.last)
+	if n.upstream.departed {
+		n.machine.UpstreamLeaving()
+	}
+}
+
 // answerHeartbeat returns the grant for a heartbeat; an empty one if a newer heartbeat
 // has arrived or the service has no ownership table here.
 func (n *Node) answerHeartbeat(hb Heartbeat) owner.Grant {
--- a/mesh/tables.go
+++ b/mesh/tables.go
@@ -88,6 +88,7 @@
 			opts = append(opts, owner.WithCalls())
 		}
 		n.machine = owner.New(n.self, service, n.clock.Now(), opts...)
+		n.replayHeartbeat()
 	}
 	t.follower = store.Follow(n.ports.Store, topicOf(service),
 		func(item store.Item) { n.receiveTable(service, item.Offset+1, item.Value, "store") },
--- a/owner/moves.go
+++ b/owner/moves.go
@@ -34,6 +34,10 @@
 		return m.releaseAll(now)
 	}
 	m.dropStuckReleases(now)
+	if m.book != nil && now.Before(m.earlierGrantsEnd()) {
+		// The keys would have no holder until then.
+		return false
+	}
 	if len(m.releases) > 0 || now.Sub(m.lastMove) < moveInterval ||
 		now.Sub(m.lastMoveCheck) < moveCheckInterval || m.proposal != nil {
 		return false
