--- a/mesh/settings.go
+++ b/mesh/settings.go
@@ -82,11 +82,11 @@
 // that outlast the grant under which they began, also if it was renewed since. So a
 // grant outlasts its renewal by the drain time, which is how long an upstream may need
 // for the calls that it has begun. Grants by call are renewed after a third of their
-// time and need a heartbeat interval less.
+// time, independently of heartbeats, and last the drain time and half an interval.
 func (s *Settings) grantLength() time.Duration {
 	hold := grantHeartbeats*s.Interval + max(s.Drain, minGrantReserve)
 	if s.GrantsByCall {
-		hold -= s.Interval
+		hold = s.Interval/2 + max(s.Drain, minGrantReserve)
 	}
 	if s.MaxGrant > 0 {
 		hold = min(hold, s.MaxGrant)
