Let the members above a fair share use the whole rate of moves

Cause: each member moved to a new member its part of 128 slots a second, divided by all other members, although only those above a fair share move any. After a rolling restart one or two of five members had slots to give, so a restarted host got 32 slots a second and had less than half a fair share after 20 s (TestRegain).

Change: the rate is divided by the number of members above a fair share.

--- a/core/share.go
+++ b/core/share.go
@@ -182,11 +182,12 @@
 	}
 	m.assignment.rebalancedAt = m.now
 	list := m.eligible()
-	joiners := m.joinersBelowShare(list)
+	fair := m.fairShare(list)
+	joiners := m.joinersBelowShare(list, fair)
 	if len(joiners) == 0 {
 		return
 	}
-	budget := max(1, m.timings.RebalanceSlots/max(1, len(list)-1))
+	budget := max(1, m.timings.RebalanceSlots/m.countAbove(list, fair))
 	given := map[ident.Incarnation][]ident.Slot{}
 	for _, n := range m.slots.owned {
 		c, ok := m.bestCandidate(n, list, func(c *candidate) bool { return !m.isSuspect(c.Inc) })
@@ -202,12 +203,29 @@
 	}
 }
 
+// fairShare returns the number of slots that each of the candidates would own if all
+// owned the same number.
+func (m *Machine) fairShare(list []candidate) int {
+	hashed, pinned := m.table.Slots(m.self.Service)
+	return int(hashed+pinned) / max(1, len(list))
+}
+
+// countAbove returns the number of candidates that own more than a fair share, which
+// are those that move slots to new members; at least 1.
+func (m *Machine) countAbove(list []candidate, fair int) int {
+	n := 0
+	for _, c := range list {
+		if m.table.OwnedSlots(c.Inc) > fair {
+			n++
+		}
+	}
+	return max(1, n)
+}
+
 // joinersBelowShare returns the new members that own less than a fair share,
 // each with the number of slots that it lacks. It returns none while this
 // member itself owns no more than a fair share.
-func (m *Machine) joinersBelowShare(list []candidate) map[ident.Incarnation]int {
-	hashed, pinned := m.table.Slots(m.self.Service)
-	fair := int(hashed+pinned) / max(1, len(list))
+func (m *Machine) joinersBelowShare(list []candidate, fair int) map[ident.Incarnation]int {
 	if len(m.slots.owned) <= fair {
 		return nil
 	}
