Follow ownership tables past records of other writers

Cause: the version of a table is the end of its topic. A record of another writer there, under another key or no table at all, moved the end on: every write lost its condition from then on, and no key changed owner any more.

Change: such a record counts as a version without changes where it follows the known one directly, or where the newest table is known to precede the end. A daemon that knows no table and reads an undecodable one waits for a peer's instead of taking all keys for unowned.

--- a/atlas/table.go
+++ b/atlas/table.go
@@ -77,6 +77,9 @@
 	return &Table{doc: document{Service: service}}
 }
 
+// At returns the same table as another version.
+func (t *Table) At(version uint64) *Table { return &Table{version: version, doc: t.doc} }
+
 // Decode returns the table in a document, with the given version. Its errors
 // wrap ErrMalformed.
 func Decode(version uint64, data []byte) (*Table, error) {
--- a/mesh/tables.go
+++ b/mesh/tables.go
@@ -58,6 +58,11 @@
 	encoded  document
 	loaded   bool
 	follower *store.Follower
+	// stored is the version of the last table that was read from the store.
+	stored uint64
+	// unreadable is set when the store's newest table can't be decoded, so that a
+	// daemon that has no other version does not know the owners.
+	unreadable bool
 	// announced is the highest version that a peer has announced, announcedBy the
 	// address of that peer, and fetchedAt when a version was last requested.
 	announced   uint64
@@ -91,7 +96,8 @@
 		n.replayHeartbeat()
 	}
 	t.follower = store.Follow(n.ports.Store, topicOf(service),
-		func(item store.Item) { n.receiveTable(service, item.Offset+1, item.Value, "store") },
+		func(item store.Item) { n.receiveStored(service, item) },
+		store.WithSnapshotCallback(func(end uint64) { n.handleSnapshotEnd(service, end) }),
 		store.WithClock(n.clock), store.WithLogger(n.log), store.WithPollInterval(tablePollTimeout, tableMinInterval),
 		store.WithSyncCallback(func(ok bool) { n.handleTableSynced(service, ok) }),
 		store.WithEnabled(func() bool { return n.isTableReader(service) }))
@@ -126,7 +132,7 @@
 	}
 	n.mu.Lock()
 	t := n.tables[service]
-	if t != nil && !t.loaded {
+	if t != nil && !t.loaded && !t.unreadable {
 		t.loaded = true
 		if n.machine != nil && service == n.settings.Service {
 			n.machine.Read(n.clock.Now(), t.current)
@@ -297,15 +303,18 @@
 		if item.Key != tableKey {
 			continue
 		}
-		t, err := atlas.Decode(item.Offset+1, item.Value)
-		if err != nil {
-			n.log.Info("invalid ownership table ignored", "service", string(service), "version", item.Offset+1, "err", err.Error())
-			return nil, false
+		n.receiveStored(service, item)
+		n.handleSnapshotEnd(service, s.End)
+		if t, err := atlas.Decode(item.Offset+1, item.Value); err == nil {
+			return t, true
 		}
-		n.receiveTable(service, item.Offset+1, item.Value, "store")
-		return t, true
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		current := n.tables[service].current
+		return current, current.Version() > item.Offset
 	}
-	return nil, false
+	n.handleSnapshotEnd(service, s.End)
+	return atlas.New(service), true
 }
 
 // settleProposal reports the outcome of a proposal to the owner state machine.
--- a/store/follower.go
+++ b/store/follower.go
@@ -43,6 +43,8 @@
 	gap    time.Duration
 	synced func(bool)
 	wanted func() bool
+	// snapshotRead is called with the end of each snapshot after its items.
+	snapshotRead func(end uint64)
 
 	cancel context.CancelFunc
 	done   chan struct{}
@@ -84,6 +86,12 @@
 // calls to the store.
 func WithEnabled(wanted func() bool) FollowerOption { return func(f *Follower) { f.wanted = wanted } }
 
+// WithSnapshotCallback sets a function that is called after the items of a snapshot were
+// delivered, with the offset of the record that follows the snapshot.
+func WithSnapshotCallback(read func(end uint64)) FollowerOption {
+	return func(f *Follower) { f.snapshotRead = read }
+}
+
 // Follow starts to follow a topic. It calls apply for every item, from a single
 // goroutine. Close ends it.
 func Follow(port Port, topic string, apply func(Item), opts ...FollowerOption) *Follower {
@@ -92,7 +100,7 @@
 		port: port, topic: topic, apply: apply,
 		clock: clockwork.NewRealClock(), log: logr.Discard(),
 		wait: defaultWait, gap: defaultGap,
-		synced: func(bool) {}, wanted: func() bool { return true },
+		synced: func(bool) {}, wanted: func() bool { return true }, snapshotRead: func(uint64) {},
 		cancel: cancel, done: make(chan struct{}), wake: make(chan struct{}, 1),
 	}
 	f.cancelRead = func() {}
@@ -214,6 +222,7 @@
 	}
 	f.deliver(s.Items)
 	f.end, f.hasSnapshot = s.End, true
+	f.snapshotRead(s.End)
 	return nil
 }
 
