Bind the outcome of a grant to the life it was for

Cause: a grant that an upstream refuses because another life has its address shows that the earlier life has ended. Its outcome was taken for the upstream as such: when the next life had sent its first heartbeat meanwhile, that one counted as ended, and its keys were given to others while it held them.

Change: the outcome ends only the life that the grant was for, and a refused probe only the life that was there when it began.

TestLateOutcomeOfAnEarlierLife fails before.

--- a/mesh/commands.go
+++ b/mesh/commands.go
@@ -62,7 +62,7 @@
 	n.mu.Unlock()
 	switch {
 	case outcome == holds.Unsent && err != nil:
-		n.handleUpstreamDown(true)
+		n.handleUpstreamEnded(upstream)
 	case outcome == holds.Unanswered:
 		n.requestProbe()
 	}
--- a/mesh/desk.go
+++ b/mesh/desk.go
@@ -286,19 +286,36 @@
 // handleUpstreamDown is called when the upstream can't be reached. Refused is set when
 // nothing listens at its address.
 func (n *Node) handleUpstreamDown(refused bool) {
+	if refused {
+		n.handleUpstreamEnded(n.upstreamID())
+	}
+}
+
+// upstreamID returns the id of the current life of the upstream.
+func (n *Node) upstreamID() string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.upstream.id
+}
+
+// handleUpstreamEnded is called when a life of the upstream has certainly ended. It does
+// nothing if another life has begun meanwhile.
+func (n *Node) handleUpstreamEnded(id string) {
 	now := n.clock.Now()
 	n.mu.Lock()
-	was, id, ending := n.upstream.present, n.upstream.id, n.upstream.leaving
-	if refused {
-		n.upstream.present = false
+	if n.upstream.id != id {
+		n.mu.Unlock()
+		return
 	}
-	if n.machine != nil && refused {
+	was, ending := n.upstream.present, n.upstream.leaving
+	n.upstream.present = false
+	if n.machine != nil {
 		n.machine.UpstreamDown(now, true)
 	}
 	n.notify()
 	n.mu.Unlock()
-	if was && refused {
-		n.log.Info("upstream lost", "id", id, "refused", refused)
+	if was {
+		n.log.Info("upstream lost", "id", id)
 		n.broadcastState()
 		n.requestReconcile()
 		if !ending {
@@ -352,12 +369,12 @@
 func (n *Node) checkUpstream() {
 	now := n.clock.Now()
 	n.mu.Lock()
-	present := n.upstream.present
+	present, id := n.upstream.present, n.upstream.id
 	silent := now.Sub(n.upstream.lastHeartbeat) > time.Duration(silentHeartbeats*float64(n.settings.Interval))
 	n.mu.Unlock()
 	listening, refused := n.probe()
 	if refused {
-		n.handleUpstreamDown(true)
+		n.handleUpstreamEnded(id)
 		return
 	}
 	if !silent {
