--- a/holds/book.go
+++ b/holds/book.go
@@ -103,11 +103,6 @@
 // Answered returns when the upstream last answered a command.
 func (b *Book) Answered() time.Time { return b.answered }
 
-// Releasing reports whether a range waits for its release.
-func (b *Book) Releasing() bool {
-	return slices.ContainsFunc(b.holds, func(h hold) bool { return h.unwanted })
-}
-
 // Refused returns the ranges whose fencing tokens the upstream has refused.
 func (b *Book) Refused() []Range {
 	var out []Range
--- a/mesh/commands.go
+++ b/mesh/commands.go
@@ -25,9 +25,9 @@
 	Release(ctx context.Context, upstream string, r holds.Range) (token string, outcome holds.Outcome, err error)
 }
 
-// runCommand makes one call to the upstream and reports its outcome to the owner state
+// runCommand makes one call to the given life of the upstream and reports its outcome to the owner state
 // machine.
-func (n *Node) runCommand(upstream string, cmd holds.Command) {
+func (n *Node) runCommand(upstream lifeKey, cmd holds.Command) {
 	timeout := grantTimeout
 	if cmd.Kind == holds.Release {
 		timeout = releaseTimeout
@@ -42,11 +42,11 @@
 	hold := cmd.Hold - n.clock.Now().Sub(cmd.Issued)
 	switch {
 	case cmd.Kind == holds.Release:
-		token, outcome, err = n.ports.Keys.Release(ctx, upstream, cmd.Range)
+		token, outcome, err = n.ports.Keys.Release(ctx, upstream.id, cmd.Range)
 	case hold <= 0:
 		outcome = holds.Unsent
 	default:
-		outcome, err = n.ports.Keys.Grant(ctx, upstream, cmd.Range, hold)
+		outcome, err = n.ports.Keys.Grant(ctx, upstream.id, cmd.Range, hold)
 	}
 	if err != nil {
 		n.log.Info("call to the upstream failed", "command", cmd.Kind.String(), "span", cmd.Range.Span.String(),
@@ -55,7 +55,7 @@
 	n.metrics.commands[outcome].Inc(1)
 	n.mu.Lock()
 	now := n.clock.Now()
-	if n.upstream.id == upstream {
+	if n.upstream.key() == upstream {
 		n.machine.RecordCommand(now, cmd, outcome, token)
 		n.notify()
 	}
--- a/mesh/desk.go
+++ b/mesh/desk.go
@@ -100,6 +100,15 @@
 	}
 }
 
+// lifeKey identifies a life of an upstream, which may start again under the same id.
+type lifeKey struct {
+	start int64
+	id    string
+}
+
+// key returns the identity of the current life.
+func (d *upstreamState) key() lifeKey { return lifeKey{start: d.life, id: d.id} }
+
 // coldFor returns how much longer the upstream is slow after its start.
 func (d *upstreamState) coldFor(now time.Time) time.Duration { return max(0, d.warmAt.Sub(now)) }
 
@@ -287,23 +296,23 @@
 // nothing listens at its address.
 func (n *Node) handleUpstreamDown(refused bool) {
 	if refused {
-		n.handleUpstreamEnded(n.upstreamID())
+		n.handleUpstreamEnded(n.upstreamKey())
 	}
 }
 
-// upstreamID returns the id of the current life of the upstream.
-func (n *Node) upstreamID() string {
+// upstreamKey returns the identity of the current life of the upstream.
+func (n *Node) upstreamKey() lifeKey {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.upstream.id
+	return n.upstream.key()
 }
 
 // handleUpstreamEnded is called when a life of the upstream has certainly ended. It does
 // nothing if another life has begun meanwhile.
-func (n *Node) handleUpstreamEnded(id string) {
+func (n *Node) handleUpstreamEnded(life lifeKey) {
 	now := n.clock.Now()
 	n.mu.Lock()
-	if n.upstream.id != id {
+	if n.upstream.key() != life {
 		n.mu.Unlock()
 		return
 	}
@@ -315,11 +324,11 @@
 	n.notify()
 	n.mu.Unlock()
 	if was {
-		n.log.Info("upstream lost", "id", id)
+		n.log.Info("upstream lost", "id", life.id)
 		n.broadcastState()
 		n.requestReconcile()
 		if !ending {
-			n.handleCrash(id)
+			n.handleCrash(life.id)
 		}
 	}
 }
@@ -369,12 +378,12 @@
 func (n *Node) checkUpstream() {
 	now := n.clock.Now()
 	n.mu.Lock()
-	present, id := n.upstream.present, n.upstream.id
+	present, life := n.upstream.present, n.upstream.key()
 	silent := now.Sub(n.upstream.lastHeartbeat) > time.Duration(silentHeartbeats*float64(n.settings.Interval))
 	n.mu.Unlock()
 	listening, refused := n.probe()
 	if refused {
-		n.handleUpstreamEnded(id)
+		n.handleUpstreamEnded(life)
 		return
 	}
 	if !silent {
--- a/mesh/gossip.go
+++ b/mesh/gossip.go
@@ -284,7 +284,7 @@
 	if a.SendGrant {
 		n.notify()
 	}
-	commands, upstream := n.machine.Commands(now), n.upstream.id
+	commands, upstream := n.machine.Commands(now), n.upstream.key()
 	n.mu.Unlock()
 	for _, cmd := range commands {
 		n.spawn(func() { n.runCommand(upstream, cmd) })
