Handle no datagram before the gossip socket is set

Cause: the socket's goroutine starts inside gossip.Listen, and a datagram that comes at once was handled before the node had the socket, which its answer needs: a data race, and a nil socket at worst.

Change: messages wait until the node has the socket. TestOddRecords, TestGrantsByCall and others of mesh and platform pass under the race detector; the race itself needs a datagram in that moment, so there is no test that always shows it.

--- a/mesh/node.go
+++ b/mesh/node.go
@@ -160,7 +160,13 @@
 	}
 	n.router = steer.New(n, &localExecutor{node: n}, n.web, steer.WithClock(n.clock), steer.WithLogger(n.log),
 		steer.WithScope(n.scope), steer.WithBudget(n.budget))
-	n.socket, err = gossip.Listen(n.settings.PeerAddr, n.handleMessage, n.log)
+	// Messages may arrive before Listen has returned, and their answers need the socket.
+	ready := make(chan struct{})
+	defer close(ready)
+	n.socket, err = gossip.Listen(n.settings.PeerAddr, func(m gossip.Message) {
+		<-ready
+		n.handleMessage(m)
+	}, n.log)
 	if err != nil {
 		return fmt.Errorf("open gossip socket: %w", err)
 	}
