review: a request that crashes endpoints isn't refused where they keep their id

Cause: a crash is counted by host, service and id of the upstream, so lives under one id count as one crash.

--- /dev/null
+++ b/review/standin/endpoint.go
@@ -0,0 +1,122 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// heartbeatInterval is the interval of the endpoints' heartbeats.
+const heartbeatInterval = 870 * time.Millisecond
+
+// endpoint is a stand-in for an application endpoint of a service without keys.
+type endpoint struct {
+	name, service, zone string
+	addr, control       string
+	// handle runs a request that is meant for this endpoint.
+	handle func(e *endpoint, w http.ResponseWriter, r *http.Request)
+	record *record
+
+	mu     sync.Mutex
+	id     string
+	up     bool
+	server *http.Server
+	ended  chan struct{}
+}
+
+// start begins a new life of the endpoint under the given id.
+func (e *endpoint) start(id string) error {
+	l, err := net.Listen("tcp4", e.addr)
+	if err != nil {
+		return err
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.id, e.up, e.ended = id, true, make(chan struct{})
+	e.server = &http.Server{Handler: e}
+	go func(s *http.Server) { _ = s.Serve(l) }(e.server)
+	go e.sendHeartbeats(id, time.Now().UnixMilli(), e.ended)
+	e.record.add("endpoint %s starts as %s", e.name, id)
+	return nil
+}
+
+// crash ends the life at once: its port is closed and its connections are cut.
+func (e *endpoint) crash() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.up {
+		return
+	}
+	e.up = false
+	close(e.ended)
+	_ = e.server.Close()
+}
+
+// isUp reports whether the endpoint runs.
+func (e *endpoint) isUp() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.up
+}
+
+// ServeHTTP implements http.Handler.
+func (e *endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	id := e.id
+	e.mu.Unlock()
+	header := w.Header()
+	header.Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
+	header.Set("X-Instance-Id", id)
+	if r.URL.Path == "/health" {
+		w.WriteHeader(http.StatusOK)
+		return
+	}
+	if want := r.Header.Get("X-Expect-Instance"); want != "" && want != id {
+		header.Set("X-Not-Executed", "1")
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if r.Header.Get("X-Attempt-Id") == "" {
+		header.Set("X-Not-Executed", "1")
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	e.handle(e, w, r)
+}
+
+// answer sends a success with the endpoint's signature.
+func answer(w http.ResponseWriter, r *http.Request, body []byte) {
+	w.Header().Set("X-Response-Signature", "s."+r.Header.Get("X-Attempt-Id"))
+	w.Header().Set("Content-Type", "application/octet-stream")
+	w.Header().Set("Content-Length", fmt.Sprint(len(body)))
+	_, _ = w.Write(body)
+}
+
+// sendHeartbeats reports the state of one life to the daemon beside the endpoint.
+func (e *endpoint) sendHeartbeats(id string, born int64, ended chan struct{}) {
+	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	for sequence := 1; ; sequence++ {
+		body, _ := json.Marshal(map[string]any{
+			"address": e.addr, "born": born,
+			"info":   map[string]any{"service": e.service, "version": "v1", "zone": e.zone, "slots": 18},
+			"status": map[string]any{"state": "ready", "sequence": sequence, "warmup_left": "0ms"},
+			"holds":  []any{}, "released": []any{},
+		})
+		begun := time.Now()
+		response, err := client.Post("http://"+e.control+"/Instances.Heartbeat/"+id, "application/json", bytes.NewReader(body))
+		if err == nil {
+			_, _ = io.Copy(io.Discard, response.Body)
+			_ = response.Body.Close()
+		}
+		select {
+		case <-time.After(heartbeatInterval - time.Since(begun)):
+		case <-ended:
+			return
+		}
+	}
+}
