review: an endpoint that had left is in use again after a restart

Cause: the notice of an endpoint that leaves is kept in the daemon's memory only; a late ping is the first that the next run of the daemon hears.

--- a/review/standin/endpoint.go
+++ b/review/standin/endpoint.go
@@ -27,6 +27,10 @@
 	up     bool
 	server *http.Server
 	ended  chan struct{}
+	// born, sequence and paused belong to the heartbeats of the present life.
+	born     int64
+	sequence int
+	paused   bool
 }
 
 // start begins a new life of the endpoint under the given id.
@@ -38,9 +42,10 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.id, e.up, e.ended = id, true, make(chan struct{})
+	e.born, e.sequence, e.paused = time.Now().UnixMilli(), 0, false
 	e.server = &http.Server{Handler: e}
 	go func(s *http.Server) { _ = s.Serve(l) }(e.server)
-	go e.sendHeartbeats(id, time.Now().UnixMilli(), e.ended)
+	go e.sendHeartbeats(id, e.born, e.ended)
 	e.record.add("endpoint %s starts as %s", e.name, id)
 	return nil
 }
@@ -97,22 +102,32 @@
 	_, _ = w.Write(body)
 }
 
+// stopHeartbeats ends the heartbeats of the present life and returns the last one's
+// numbers.
+func (e *endpoint) stopHeartbeats() (id string, born int64, sequence int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.paused = true
+	return e.id, e.born, e.sequence
+}
+
+// nextSequence returns the number of the next heartbeat, and false when there is none.
+func (e *endpoint) nextSequence() (int, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.sequence++
+	return e.sequence, !e.paused
+}
+
 // sendHeartbeats reports the state of one life to the daemon beside the endpoint.
 func (e *endpoint) sendHeartbeats(id string, born int64, ended chan struct{}) {
-	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	for sequence := 1; ; sequence++ {
-		body, _ := json.Marshal(map[string]any{
-			"address": e.addr, "born": born,
-			"info":   map[string]any{"service": e.service, "version": "v1", "zone": e.zone, "slots": 18},
-			"status": map[string]any{"state": "ready", "sequence": sequence, "warmup_left": "0ms"},
-			"holds":  []any{}, "released": []any{},
-		})
+	for {
 		begun := time.Now()
-		response, err := client.Post("http://"+e.control+"/Instances.Heartbeat/"+id, "application/json", bytes.NewReader(body))
-		if err == nil {
-			_, _ = io.Copy(io.Discard, response.Body)
-			_ = response.Body.Close()
+		sequence, ok := e.nextSequence()
+		if !ok {
+			return
 		}
+		e.ping(id, born, sequence)
 		select {
 		case <-time.After(heartbeatInterval - time.Since(begun)):
 		case <-ended:
@@ -120,3 +135,27 @@
 		}
 	}
 }
+
+// ping sends one heartbeat of a life and returns the status of the answer.
+func (e *endpoint) ping(id string, born int64, sequence int) int {
+	body, _ := json.Marshal(map[string]any{
+		"address": e.addr, "born": born,
+		"info":   map[string]any{"service": e.service, "version": "v1", "zone": e.zone, "slots": 18},
+		"status": map[string]any{"state": "ready", "sequence": sequence, "warmup_left": "0ms"},
+		"holds":  []any{}, "released": []any{},
+	})
+	return e.callControl("/Instances.Heartbeat/"+id, body)
+}
+
+// callControl makes a call to the daemon beside the endpoint and returns the status of the
+// answer, 0 for none within a second.
+func (e *endpoint) callControl(path string, body []byte) int {
+	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Post("http://"+e.control+path, "application/json", bytes.NewReader(body))
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = response.Body.Close() }()
+	_, _ = io.Copy(io.Discard, response.Body)
+	return response.StatusCode
+}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -151,10 +151,10 @@
 	return f.send(ctx, d, request{method: http.MethodGet, path: path, timeout: time.Second})
 }
 
-// config returns the operator's configuration with one service without keys.
+// config returns the operator's configuration with two services without keys.
 func config(routes string) string {
 	return `{"version":7,"services":[{"name":"carrier","health_path":"/health","max_connections":110,"protocol":"h1",` +
-		`"tls":false}],"limits":{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout":"3000ms",` +
+		`"tls":false},{"name":"desk","health_path":"/health","max_connections":110,"protocol":"h1","tls":false}],"limits":{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout":"3000ms",` +
 		`"idle_timeout":"15000ms"},"hosts":[{"host":"rounds.example","paths":[` + routes + `]}]}`
 }
 
@@ -162,8 +162,8 @@
 var cases = map[string]func(*fleet) (string, error){
 	"same-id": playSameID,
 	"restart": playRestart,
-	"memory":  playMemory,
-	"stall":   playStall,
+	"endless": playEndless,
+	"drain":   playDrain,
 }
 
 func main() {
