review: keys of machines that are gone for good are never given away

Cause: a member's keys are taken over only when a majority of its witnesses votes, and only daemons on hosts of the witnesses' names may vote. Where these hosts are gone for good and others have come, nobody can.

--- a/review/standin/drain.go
+++ b/review/standin/drain.go
@@ -56,7 +56,7 @@
 	leaving, beside := f.endpoints[0], f.daemons[0]
 	id, born, sequence := leaving.stopHeartbeats()
 	delayed := time.Now()
-	if status := leaving.callControl("/Instances.Deregister/"+id, nil); status != http.StatusOK {
+	if status, _ := leaving.callControl("/Instances.Deregister/"+id, nil); status != http.StatusOK {
 		return "", fmt.Errorf("notice of leaving got status %d", status)
 	}
 	at := time.Now()
@@ -75,7 +75,7 @@
 	}
 	go func() {
 		time.Sleep(pingDelay - time.Since(delayed))
-		status := leaving.ping(id, born, sequence+1)
+		status, _ := leaving.ping(id, born, sequence+1)
 		f.record.add("ping %d of %s, sent before the notice, arrives %.1f s late and is answered %d", sequence+1, id, pingDelay.Seconds(), status)
 	}()
 	time.AfterFunc(servesOn, func() {
--- a/review/standin/endpoint.go
+++ b/review/standin/endpoint.go
@@ -11,10 +11,14 @@
 	"time"
 )
 
-// heartbeatInterval is the interval of the endpoints' heartbeats.
-const heartbeatInterval = 870 * time.Millisecond
+const (
+	// heartbeatInterval is the interval of the endpoints' heartbeats.
+	heartbeatInterval = 870 * time.Millisecond
+	// releaseInterval is the interval after keys were released.
+	releaseInterval = 100 * time.Millisecond
+)
 
-// endpoint is a stand-in for an application endpoint of a service without keys.
+// endpoint is a stand-in for an application endpoint.
 type endpoint struct {
 	name, service, zone string
 	addr, control       string
@@ -31,6 +35,10 @@
 	born     int64
 	sequence int
 	paused   bool
+	// keyed is set for a service that is divided by key; keys are those of the present
+	// life.
+	keyed bool
+	keys  *keyHolder
 }
 
 // start begins a new life of the endpoint under the given id.
@@ -43,6 +51,9 @@
 	defer e.mu.Unlock()
 	e.id, e.up, e.ended = id, true, make(chan struct{})
 	e.born, e.sequence, e.paused = time.Now().UnixMilli(), 0, false
+	if e.keyed {
+		e.keys = &keyHolder{}
+	}
 	e.server = &http.Server{Handler: e}
 	go func(s *http.Server) { _ = s.Serve(l) }(e.server)
 	go e.sendHeartbeats(id, e.born, e.ended)
@@ -122,40 +133,58 @@
 // sendHeartbeats reports the state of one life to the daemon beside the endpoint.
 func (e *endpoint) sendHeartbeats(id string, born int64, ended chan struct{}) {
 	for {
-		begun := time.Now()
+		begun, interval := time.Now(), heartbeatInterval
 		sequence, ok := e.nextSequence()
 		if !ok {
 			return
 		}
-		e.ping(id, born, sequence)
+		if _, released := e.ping(id, born, sequence); released {
+			interval = releaseInterval
+		}
 		select {
-		case <-time.After(heartbeatInterval - time.Since(begun)):
+		case <-time.After(interval - time.Since(begun)):
 		case <-ended:
 			return
 		}
 	}
 }
 
-// ping sends one heartbeat of a life and returns the status of the answer.
-func (e *endpoint) ping(id string, born int64, sequence int) int {
+// ping sends one heartbeat of a life. It returns the status of the answer, and whether the
+// endpoint has released keys for it.
+func (e *endpoint) ping(id string, born int64, sequence int) (status int, released bool) {
+	e.mu.Lock()
+	keys := e.keys
+	e.mu.Unlock()
+	holds, freed := []any{}, []any{}
+	if keys != nil {
+		holds, freed = keys.lists()
+	}
 	body, _ := json.Marshal(map[string]any{
 		"address": e.addr, "born": born,
 		"info":   map[string]any{"service": e.service, "version": "v1", "zone": e.zone, "slots": 18},
 		"status": map[string]any{"state": "ready", "sequence": sequence, "warmup_left": "0ms"},
-		"holds":  []any{}, "released": []any{},
+		"holds":  holds, "released": freed,
 	})
-	return e.callControl("/Instances.Heartbeat/"+id, body)
+	sent := time.Now()
+	status, answer := e.callControl("/Instances.Heartbeat/"+id, body)
+	if keys != nil && status == http.StatusOK {
+		released = keys.apply(answer, sent, len(freed))
+	}
+	return status, released
 }
 
-// callControl makes a call to the daemon beside the endpoint and returns the status of the
-// answer, 0 for none within a second.
-func (e *endpoint) callControl(path string, body []byte) int {
+// callControl makes a call to the daemon beside the endpoint and returns the status and
+// the body of the answer; the status is 0 if none came within a second.
+func (e *endpoint) callControl(path string, body []byte) (int, []byte) {
 	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	response, err := client.Post("http://"+e.control+path, "application/json", bytes.NewReader(body))
 	if err != nil {
-		return 0
+		return 0, nil
 	}
 	defer func() { _ = response.Body.Close() }()
-	_, _ = io.Copy(io.Discard, response.Body)
-	return response.StatusCode
+	data, err := io.ReadAll(io.LimitReader(response.Body, 4<<10))
+	if err != nil {
+		return 0, nil
+	}
+	return response.StatusCode, data
 }
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -119,6 +119,8 @@
 type request struct {
 	method, path, body string
 	timeout            time.Duration
+	// key is the key of a request to a service that is divided by key.
+	key string
 }
 
 // send makes a client attempt on a connection of its own.
@@ -131,6 +133,9 @@
 	r.Host = "rounds.example"
 	r.Header.Set("X-Attempt-Id", res.id)
 	r.Header.Set("X-Timeout-Remaining", fmt.Sprint(q.timeout.Milliseconds()))
+	if q.key != "" {
+		r.Header.Set("X-Shard-Key", q.key)
+	}
 	begun := time.Now()
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
 	response, err := client.Do(r)
@@ -164,6 +169,7 @@
 	"restart": playRestart,
 	"endless": playEndless,
 	"drain":   playDrain,
+	"gone":    playGone,
 }
 
 func main() {
