review: a tried script, requests of many clients are refused after a common crash of endpoints

Cause: a request counts as the cause of each crash at which it was in flight. Where all endpoints of a service crash at once for a reason of their own, the requests that many clients send (same path, caller and body) were in flight at three of them and are refused for two minutes from then on (crashThreshold, quarantineDuration, mesh/crashes.go).

Change: case popular of the stand-in.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -170,6 +170,7 @@
 	"endless": playEndless,
 	"drain":   playDrain,
 	"gone":    playGone,
+	"popular": playPopular,
 }
 
 func main() {
