mesh: a stopping daemon starts no call that its end can cut off

Cause: a daemon that can't hand over its keys waits for the handover to the end of the grace period and then closes the transport. LimitDeadlines bounded only the calls of its own callers; calls that other daemons forwarded were started until the last moment and aborted by the close. Ruled out: the drain of the listener for callers (all that were cut had come over the transport between daemons) and the store (up all the time).

Change: LimitCalls bounds calls of both kinds. Since such a call can't be running when the daemon closes, none is cut. Drain lets the transport finish answers in flight, streamed ones included, which the admission gate doesn't count.

--- a/mesh/local.go
+++ b/mesh/local.go
@@ -147,6 +147,9 @@
 // locate returns where the call can run now. It is called with mu held.
 func (l *localExecutor) locate(now time.Time, call *calls.Call) (owner.KeyStatus, ident.Host, string, *calls.Error) {
 	n := l.node
+	if refusal := n.refuseUnfinishable(now, call); refusal != nil {
+		return 0, "", "", refusal
+	}
 	d := &n.upstream
 	if d.leaving && now.Sub(d.leftAt) > n.settings.Drain-drainMargin {
 		return 0, "", "", calls.NewNotRun(calls.ReasonDraining)
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -73,9 +73,8 @@
 	upstream upstreamState
 	changed  chan struct{}
 	stopping bool
-	// answerBy is when the calls of this daemon's callers must have been answered; nil
-	// if there is no limit.
-	answerBy atomic.Pointer[time.Time]
+	// callLimits bounds the calls of a daemon that is about to end; nil until then.
+	callLimits atomic.Pointer[callLimits]
 	// applied are the newest settings; the field settings keeps those of the start.
 	applied Settings
 
@@ -221,10 +220,7 @@
 	if t := call.Terms.Timeout; t > 0 && t < asked.Sub(now) {
 		call.Deadline = now.Add(t)
 	}
-	if by := n.answerBy.Load(); by != nil && by.Before(call.Deadline) {
-		call.Deadline = *by
-	}
-	reply, err := n.router.Run(ctx, call)
+	reply, err := n.route(ctx, now, call)
 	if err != nil {
 		n.retries.RecordFailure(fingerprint, begun, asked)
 	}
@@ -232,9 +228,15 @@
 	return reply, err
 }
 
-// LimitDeadlines makes the calls that arrive from now on end by the given time, since the
-// daemon ends shortly after it. A call that can't be served by then is refused at once.
-func (n *Node) LimitDeadlines(by time.Time) { n.answerBy.Store(&by) }
+// route sends a call to the daemon whose upstream runs it, unless this daemon may end
+// before the call does.
+func (n *Node) route(ctx context.Context, now time.Time, call *calls.Call) (*calls.Reply, error) {
+	if refusal := n.refuseUnfinishable(now, call); refusal != nil {
+		return nil, refusal
+	}
+	n.limitDeadline(call)
+	return n.router.Run(ctx, call)
+}
 
 // Plan returns the configuration in force.
 func (n *Node) Plan() *vhost.RoutingConfig { return n.plans.Plan() }
--- a/mesh/stop.go
+++ b/mesh/stop.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"time"
+
+	"github.com/monsoonmoor/monsoonmoor/calls"
 )
 
 // stopPollInterval is the time between two checks whether the node has released its
@@ -43,6 +45,50 @@
 	return n.machine == nil || n.machine.Left() || !n.machine.Known()
 }
 
+// callLimits bounds the calls of a daemon that is about to end.
+type callLimits struct {
+	// startBy is the time from which a call is started only if its deadline is before
+	// answerBy.
+	startBy time.Time
+	// answerBy is when all calls must have been answered.
+	answerBy time.Time
+}
+
+// LimitCalls bounds the calls of a daemon that ends shortly after answerBy, whether they
+// come from its own callers or are forwarded by other daemons. From startBy on, a call
+// whose deadline is later than answerBy is refused as not run, since the end of the daemon
+// could cut it off. The calls of its own callers also get answerBy as their deadline.
+func (n *Node) LimitCalls(startBy, answerBy time.Time) {
+	n.callLimits.Store(&callLimits{startBy: startBy, answerBy: answerBy})
+}
+
+// refuseUnfinishable returns the error for a call that must not start any more, since the
+// daemon may end before the call does, and nil for any other call.
+func (n *Node) refuseUnfinishable(now time.Time, call *calls.Call) *calls.Error {
+	l := n.callLimits.Load()
+	if l == nil || now.Before(l.startBy) || call.Deadline.Before(l.answerBy) {
+		return nil
+	}
+	return calls.NewNotRun(calls.ReasonDraining, calls.WithRetryAfter(max(moveRetryAfter, l.answerBy.Sub(now))))
+}
+
+// limitDeadline shortens the deadline of a call to the end of the daemon, if it is
+// stopping.
+func (n *Node) limitDeadline(call *calls.Call) {
+	if l := n.callLimits.Load(); l != nil && l.answerBy.Before(call.Deadline) {
+		call.Deadline = l.answerBy
+	}
+}
+
+// Drain refuses the calls that other daemons send from now on, and waits until the answers
+// to those in flight have been sent. It returns an error when ctx ends first.
+func (n *Node) Drain(ctx context.Context) error {
+	if err := n.web.Shutdown(ctx); err != nil {
+		return fmt.Errorf("finish forwarded calls: %w", err)
+	}
+	return nil
+}
+
 // Idle reports whether no call runs at the upstream or waits for it.
 func (n *Node) Idle() bool {
 	running, waiting, _ := n.gate.State()
