upconn: the end of a call's context ends its streamed answer

Cause: Pool.Run stopped watching the context once it returned, for a streamed answer while its body was still to be read. So neither the route's timeout nor the caller's leaving closed the connection to the upstream. Ruled out: the router's deadline, which ended its context in time.

Change: the connection is tied to the context until the body is closed. The same on related paths: the deadline of a forwarded call is enforced by the daemon that runs it, and a write of a streamed answer to a caller or daemon that doesn't read is aborted.

--- a/peers/web.go
+++ b/peers/web.go
@@ -19,6 +19,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/monsoonmoor/monsoonmoor/calls"
+	"github.com/monsoonmoor/monsoonmoor/steady"
 )
 
 // Timeouts and limits of a Web transport.
@@ -320,11 +321,13 @@
 		return
 	}
 	call := h.call(w.clock.Now(), r.Body)
+	ctx, cancel := steady.WithDeadline(r.Context(), w.clock, call.Deadline)
+	defer cancel()
 	if _, err := calls.Buffer(call, call.Length); err != nil {
 		w.refuse(rw, calls.NewNotRun(calls.ReasonCanceled, calls.WithCause(err)))
 		return
 	}
-	reply, err := w.handler.Run(r.Context(), call)
+	reply, err := w.handler.Run(ctx, call)
 	if err != nil {
 		w.refuse(rw, calls.AsError(err))
 		return
@@ -338,18 +341,20 @@
 		w.log.Error(err, "answer not sent: encoding its header failed", "request", call.ID)
 		panic(http.ErrAbortHandler)
 	}
-	if err := writeReply(rw, buf, reply); err != nil {
+	if err := w.writeReply(ctx, rw, buf, reply); err != nil {
 		w.log.V(1).Info("answer cut", "request", call.ID, "err", err.Error())
 		panic(http.ErrAbortHandler)
 	}
 }
 
-// writeReply sends a header and a body, in one write if the body is in memory.
-func writeReply(rw http.ResponseWriter, header []byte, reply *calls.Reply) error {
+// writeReply sends a header and a body, in one write if the body is in memory. A streamed
+// body is sent until ctx is done.
+func (w *Web) writeReply(ctx context.Context, rw http.ResponseWriter, header []byte, reply *calls.Reply) error {
 	if body, ok := reply.Body.(interface{ Bytes() []byte }); ok {
 		_, err := rw.Write(append(header, body.Bytes()...))
 		return err
 	}
+	defer calls.AbortWrites(ctx, rw, w.log)()
 	if _, err := rw.Write(header); err != nil {
 		return err
 	}
--- a/peers/web_test.go
+++ b/peers/web_test.go
@@ -129,3 +129,36 @@
 	}
 	c.Assert(err, qt.IsNil)
 }
+
+// endlessBody is a body without end. It records that it was closed.
+type endlessBody struct{ closed chan struct{} }
+
+func (b endlessBody) Read(p []byte) (int, error) { return len(p), nil }
+
+func (b endlessBody) Close() error {
+	close(b.closed)
+	return nil
+}
+
+// TestWebStreamEndsAtDeadline forwards a call whose answer has no end and is not read by the
+// peer that sent the call. Its flow control blocks the write, which must end at the deadline
+// of the call.
+func TestWebStreamEndsAtDeadline(t *testing.T) {
+	c := qt.New(t)
+	body := endlessBody{closed: make(chan struct{})}
+	server := openWeb(c, func(context.Context, *calls.Call) (*calls.Reply, error) {
+		return &calls.Reply{Status: http.StatusOK, Body: body, Length: -1}, nil
+	})
+	call := webCall("")
+	call.Deadline = time.Now().Add(300 * time.Millisecond)
+	reply, err := openWeb(c, nil).Forward(context.Background(), server.Addr(), call)
+	c.Assert(err, qt.IsNil)
+	select {
+	case <-body.closed:
+	case <-time.After(5 * time.Second):
+		c.Fatal("the answer is still being sent 5 s after the deadline")
+	}
+	_, err = io.Copy(io.Discard, reply.Body)
+	c.Check(err, qt.IsNotNil)
+	c.Check(reply.Body.Close(), qt.IsNil)
+}
--- a/upconn/exchange.go
+++ b/upconn/exchange.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -41,7 +42,8 @@
 
 // Run sends a call to the given instance of the upstream and returns the answer. An
 // error is always a *calls.Error. Its outcome is calls.NotRun only if no byte was
-// sent or the upstream reported that it did not run the call.
+// sent or the upstream reported that it did not run the call. A reply whose body is longer
+// than maxBufferedAnswer is streamed; reading its body fails once ctx is done.
 func (p *Pool) Run(ctx context.Context, call *calls.Call, instance string) (*calls.Reply, error) {
 	body, ok := call.Body.(*calls.Buffered)
 	if !ok {
@@ -59,12 +61,17 @@
 	x.idleTime = p.clock.Now().Sub(c.lastUsed)
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	reply, err := x.run(ctx, p.dialect.Request(call, left, instance), body.Bytes())
+	if x.streaming {
+		// The call runs until its body has been read, and ctx bounds it until then.
+		reply.Body = calls.OnClose(reply.Body, func() { stop() })
+		return reply, nil
+	}
 	if !stop() {
 		x.reusable = false
 	}
 	if x.reusable {
 		p.put(c)
-	} else if !x.streaming {
+	} else {
 		_ = c.Close()
 	}
 	if err != nil {
@@ -246,5 +253,11 @@
 // Read implements io.Reader.
 func (s *streamingBody) Read(p []byte) (int, error) { return s.body.Read(p) }
 
-// Close implements io.Closer.
-func (s *streamingBody) Close() error { return s.conn.Close() }
+// Close implements io.Closer. The connection may have been closed at the end of the call's
+// context.
+func (s *streamingBody) Close() error {
+	if err := s.conn.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
+		return fmt.Errorf("close connection of streamed answer: %w", err)
+	}
+	return nil
+}
--- a/upconn/upconn_test.go
+++ b/upconn/upconn_test.go
@@ -381,3 +381,51 @@
 		})
 	}
 }
+
+// TestStreamEndsWithItsContext has an upstream whose answer is too long to be buffered, and
+// either has no end or falls silent. Reading it must fail once the context of the call is
+// done, and the connection to the upstream must be closed then.
+func TestStreamEndsWithItsContext(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		silent bool
+	}{{"without end", false}, {"silent", true}} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			closed := make(chan struct{})
+			s := serve(c, func(conn net.Conn, br *bufio.Reader, _ int) {
+				defer close(closed)
+				read(br)
+				_, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\n"+strings.Repeat("x", 2<<20))
+				for err == nil && !test.silent {
+					_, err = io.WriteString(conn, strings.Repeat("x", 1<<10))
+					time.Sleep(time.Millisecond)
+				}
+				_, _ = br.ReadByte()
+			})
+			p := upconn.New(s.listener.Addr().String(), dialect{})
+			defer func() { _ = p.Close() }()
+			ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+			defer cancel()
+			reply, err := p.Run(ctx, call("1", true), "life")
+			c.Assert(err, qt.IsNil)
+			ended := make(chan error, 1)
+			go func() {
+				_, err := io.Copy(io.Discard, reply.Body)
+				ended <- err
+			}()
+			select {
+			case err := <-ended:
+				c.Check(err, qt.IsNotNil)
+			case <-time.After(5 * time.Second):
+				c.Error("the answer can still be read 5 s after the context has ended")
+			}
+			c.Check(reply.Body.Close(), qt.IsNil)
+			select {
+			case <-closed:
+			case <-time.After(5 * time.Second):
+				c.Fatal("the connection to the upstream is still open")
+			}
+		})
+	}
+}
