mesh: requests that were answered lately are no suspects at a crash

Cause: a request was quarantined when it was in flight at three crashes without an answer in between. One that many clients send is in flight at every crash, so three endpoints that crash at once were enough. Being refused, it could not be answered, which is what clears a suspect.

What causes the crashes is never answered, so it stays a suspect. The line "upstream crashed" tells the suspects from all calls that were there.

--- a/calls/call.go
+++ b/calls/call.go
@@ -55,6 +55,9 @@
 	Ordered bool
 	// Terms is the route's policy for the call, such as timeouts and retries.
 	Terms RoutePolicy
+	// Answered is set when a daemon has seen an answer to the same request lately, which
+	// proves that it does not crash upstreams.
+	Answered bool
 	// Trail lists the hosts to which this daemon has sent the call so far, in order.
 	// It is only logged.
 	Trail []ident.Host
--- a/mesh/crash_test.go
+++ b/mesh/crash_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -17,6 +18,12 @@
 // crashPath is the path of a call that crashes every upstream that runs it.
 const crashPath = "/deadly"
 
+// slowPath is the path of a harmless call that takes slowTime.
+const (
+	slowPath = "/slow"
+	slowTime = 100 * time.Millisecond
+)
+
 // restartDelay is how long a crashed upstream stays down before it restarts.
 const restartDelay = 300 * time.Millisecond
 
@@ -29,6 +36,9 @@
 }
 
 func (x crashingUpstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == slowPath {
+		time.Sleep(slowTime)
+	}
 	if r.URL.Path != crashPath {
 		x.host.ServeHTTP(w, r)
 		return
@@ -94,3 +104,42 @@
 	}
 	c.Check(ran.Load(), qt.Equals, before)
 }
+
+// TestPopularCallsAreNotQuarantined crashes all upstreams of a service at once while the same
+// harmless call, which many callers send, runs at each of them. It was answered before, so
+// it must not be taken for the cause of the crashes and must be served once they are back.
+func TestPopularCallsAreNotQuarantined(t *testing.T) {
+	c := qt.New(t)
+	_, hosts := fleet(c, 3, 3)
+	media := hosts[3:]
+	upstreams := make([]crashingUpstream, len(media))
+	for i, h := range media {
+		upstreams[i] = crashingUpstream{c: c, host: h, ran: new(atomic.Int32)}
+		h.upstream.Config.Handler = upstreams[i]
+	}
+	send := func(h *host) error {
+		call := newCall(plain, 0)
+		call.Path, call.Terms.Attempts = slowPath, 1
+		_, err := h.node.Run(context.Background(), call)
+		return err
+	}
+	for _, h := range hosts {
+		eventually(c, func() bool { return send(h) == nil })
+	}
+	for range 2 {
+		var running sync.WaitGroup
+		for range 4 {
+			for _, h := range hosts {
+				running.Go(func() { _ = send(h) })
+			}
+		}
+		time.Sleep(slowTime / 2)
+		for _, x := range upstreams {
+			running.Go(x.crash)
+		}
+		running.Wait()
+		for _, h := range hosts {
+			eventually(c, func() bool { return send(h) == nil })
+		}
+	}
+}
--- a/mesh/crashes.go
+++ b/mesh/crashes.go
@@ -11,7 +11,8 @@
 
 const (
 	// crashThreshold is the number of crashes after which a call is quarantined, if it
-	// was at the upstream during each of them and was not answered in between.
+	// was at the upstream during each of them and was not answered in between or shortly
+	// before.
 	crashThreshold = 3
 	// quarantineDuration is how long a quarantined call is refused after its most
 	// recent crash.
@@ -36,7 +37,7 @@
 		n.log.Info("crashes upstreams", "request", call.ID, "fingerprint", fingerprint)
 		return nil, calls.NewNotRun(calls.ReasonQuarantine, calls.WithRetryAfter(quarantineRetryAfter))
 	}
-	n.inFlight.add(fingerprint)
+	n.inFlight.add(fingerprint, call.Answered)
 	reply, err := n.pool.Run(ctx, call, instance)
 	end := poison.Completed
 	if err != nil {
@@ -45,9 +46,12 @@
 			end = poison.Lost
 		}
 	}
-	n.inFlight.remove(n.clock.Now(), fingerprint, end == poison.Lost)
+	now := n.clock.Now()
+	n.inFlight.remove(now, fingerprint, end == poison.Lost)
 	if err != nil {
 		n.recordUpstreamFailure(call, calls.AsError(err).Reason())
+	} else {
+		n.answered.Record(now, fingerprint)
 	}
 	if pass.Leave(end) {
 		n.sendSuspects([]uint64{fingerprint})
@@ -67,16 +71,21 @@
 }
 
 // handleCrash reports the calls that were in flight when the given instance of the
-// upstream crashed to the quarantine and to the other daemons of the service.
+// upstream crashed to the quarantine and to the other daemons of the service. Calls that
+// were answered lately are no suspects: an upstream that crashes for another reason always
+// has some of a request in flight that many callers send.
 func (n *Node) handleCrash(instance string) {
-	running := n.inFlight.takeSuspects(n.clock.Now())
-	if instance == "" || len(running) == 0 {
+	present, suspects := n.inFlight.takeSuspects(n.clock.Now(), n.answered)
+	if instance == "" || present == 0 {
 		return
 	}
 	service := n.settings.Service
-	n.log.Info("upstream crashed", "id", instance, "calls", len(running))
-	n.quarantine.RecordCrash(service, poison.CrashID(n.settings.Host, service, instance), running)
-	n.sendSuspects(running)
+	n.log.Info("upstream crashed", "id", instance, "calls", present, "suspects", len(suspects))
+	if len(suspects) == 0 {
+		return
+	}
+	n.quarantine.RecordCrash(service, poison.CrashID(n.settings.Host, service, instance), suspects)
+	n.sendSuspects(suspects)
 }
 
 // sendSuspects sends the quarantine's records of the given fingerprints to the other
--- a/mesh/inflight.go
+++ b/mesh/inflight.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/monsoonmoor/monsoonmoor/poison"
 )
 
 // crashWindow is how long after the loss of a call the crash of its upstream may be
@@ -13,23 +15,33 @@
 // were lost there within crashWindow.
 type inFlight struct {
 	mu      sync.Mutex
-	running map[uint64]int
+	running map[uint64]runningCalls
 	lost    []lostCall
 }
 
+// runningCalls are the calls with one fingerprint that are at the upstream.
+type runningCalls struct {
+	count int
+	// answered is set when a daemon has seen an answer to such a call lately.
+	answered bool
+}
+
 // lostCall is a call that was lost at the upstream.
 type lostCall struct {
 	fingerprint uint64
+	answered    bool
 	at          time.Time
 }
 
-func newInFlight() *inFlight { return &inFlight{running: make(map[uint64]int)} }
+func newInFlight() *inFlight { return &inFlight{running: make(map[uint64]runningCalls)} }
 
-// add registers a call that is sent to the upstream.
-func (f *inFlight) add(fingerprint uint64) {
+// add registers a call that is sent to the upstream. Answered is set when a daemon has seen
+// an answer to such a call lately.
+func (f *inFlight) add(fingerprint uint64, answered bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.running[fingerprint]++
+	r := f.running[fingerprint]
+	f.running[fingerprint] = runningCalls{count: r.count + 1, answered: r.answered || answered}
 }
 
 // remove unregisters a call that has ended at the upstream. A lost call stays a suspect
@@ -37,13 +49,15 @@
 func (f *inFlight) remove(now time.Time, fingerprint uint64, lost bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.running[fingerprint]--
-	if f.running[fingerprint] <= 0 {
+	r := f.running[fingerprint]
+	r.count--
+	f.running[fingerprint] = r
+	if r.count <= 0 {
 		delete(f.running, fingerprint)
 	}
 	f.lost = f.recentlyLost(now)
 	if lost {
-		f.lost = append(f.lost, lostCall{fingerprint: fingerprint, at: now})
+		f.lost = append(f.lost, lostCall{fingerprint: fingerprint, answered: r.answered, at: now})
 	}
 }
 
@@ -57,22 +71,24 @@
 	return f.lost[i:]
 }
 
-// takeSuspects returns the fingerprints of the calls that were at the upstream when it
-// crashed, and clears the lost ones.
-func (f *inFlight) takeSuspects(now time.Time) []uint64 {
+// takeSuspects returns the number of different calls that were at the upstream when it
+// crashed, and the fingerprints of those that may have crashed it: all but those that were
+// answered lately. It clears the lost calls.
+func (f *inFlight) takeSuspects(now time.Time, answered *poison.Answered) (present int, suspects []uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	present := make(map[uint64]bool, len(f.running))
-	for fingerprint := range f.running {
-		present[fingerprint] = true
+	innocent := make(map[uint64]bool, len(f.running))
+	for fingerprint, r := range f.running {
+		innocent[fingerprint] = r.answered
 	}
 	for _, l := range f.recentlyLost(now) {
-		present[l.fingerprint] = true
+		innocent[l.fingerprint] = innocent[l.fingerprint] || l.answered
 	}
 	f.lost = nil
-	all := make([]uint64, 0, len(present))
-	for fingerprint := range present {
-		all = append(all, fingerprint)
+	for fingerprint, known := range innocent {
+		if !known && !answered.Contains(now, fingerprint) {
+			suspects = append(suspects, fingerprint)
+		}
 	}
-	return all
+	return len(innocent), suspects
 }
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -59,8 +59,9 @@
 	peerWaits        *peerWaits
 	retries          *sched.RetryTracker
 	timerLag         *cpulag.Meter
-	// inFlight and quarantine detect the calls that crash upstreams.
+	// inFlight, answered and quarantine detect the calls that crash upstreams.
 	inFlight   *inFlight
+	answered   *poison.Answered
 	quarantine *poison.Quarantine
 
 	// mu guards the daemon's view of the fleet, the leases, the ownership tables and
@@ -139,7 +140,7 @@
 		upconn.WithScope(n.scope), upconn.WithDown(n.handleUpstreamDown))
 	n.budget = steer.NewBudget(s.RetryRatio, s.RetrySlack, s.RetryWindow)
 	n.upstream = newUpstreamState(s.answerHold())
-	n.inFlight, n.quarantine = newInFlight(), newQuarantine(n)
+	n.inFlight, n.answered, n.quarantine = newInFlight(), poison.NewAnswered(), newQuarantine(n)
 }
 
 // seed adds addresses at which other daemons may be found.
@@ -217,14 +218,18 @@
 	asked, fingerprint := call.Deadline, poison.Fingerprint(call, bodyPrefix(call))
 	begun := n.retries.FirstAttempt(now, fingerprint, asked)
 	call.Terms.Spent = now.Sub(begun)
+	call.Answered = n.answered.Contains(now, fingerprint)
 	if t := call.Terms.Timeout; t > 0 && t < asked.Sub(now) {
 		call.Deadline = now.Add(t)
 	}
 	reply, err := n.route(ctx, now, call)
+	ended := n.clock.Now()
 	if err != nil {
 		n.retries.RecordFailure(fingerprint, begun, asked)
+	} else {
+		n.answered.Record(ended, fingerprint)
 	}
-	n.metrics.recordCall(n.clock.Now().Sub(now), reply, err)
+	n.metrics.recordCall(ended.Sub(now), reply, err)
 	return reply, err
 }
 
--- a/peers/header.go
+++ b/peers/header.go
@@ -72,6 +72,8 @@
 	Point   uint32        `cbor:"14,keyasint,omitempty"`
 	Ordered bool          `cbor:"15,keyasint,omitempty"`
 	Terms   *termsHeader  `cbor:"16,keyasint,omitempty"`
+	// Answered is set when the sender has seen an answer to the same request lately.
+	Answered bool `cbor:"17,keyasint,omitempty"`
 }
 
 // termsHeader is the encoded form of a calls.RoutePolicy; times are in microseconds.
@@ -126,6 +128,7 @@
 		Point:       call.Point,
 		Ordered:     call.Ordered,
 		Terms:       newTermsHeader(call.Terms),
+		Answered:    call.Answered,
 	}
 	if !deadline.IsZero() {
 		h.TimeLeft = max(1, deadline.Sub(now).Microseconds())
@@ -152,6 +155,7 @@
 		Point:       h.Point,
 		Ordered:     h.Ordered,
 		Terms:       h.Terms.terms(),
+		Answered:    h.Answered,
 	}
 	if c.Header == nil {
 		c.Header = http.Header{}
--- a/poison/doc.go
+++ b/poison/doc.go
@@ -20,7 +20,8 @@
 //
 // If suspects must not wait for each other, WithCrashThreshold selects another
 // rule: a request is blocked once it was present at the given number of crashes and was
-// not answered between them.
+// not answered between them. Answered remembers the requests that were answered lately,
+// which the caller of RecordCrash leaves out as innocent.
 //
 // Daemons exchange their suspects: Report and ReportFor return what to send to
 // peers, and Merge applies what a peer has sent.
