mesh: the quarantine of requests that crash endpoints outlives restarts

Cause: the quarantine was in memory only, and a crash was reported once, to the daemons that ran then.

Change: the daemon that sees the last crash keeps the entry in the store's topic "quarantine"; a daemon reads it when it starts and removes expired entries. Daemons also send their quarantined requests to a daemon of the service that they see for the first time, which helps while the store is away. A lifted entry is removed. The loop that repeats an exchange with the store is taken out of announce (retry).

--- a/mesh/crash_test.go
+++ b/mesh/crash_test.go
@@ -13,6 +13,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/monsoonmoor/monsoonmoor/calls"
+	"github.com/monsoonmoor/monsoonmoor/store"
 )
 
 // crashPath is the path of a call that crashes every upstream that runs it.
@@ -143,3 +144,58 @@
 		}
 	}
 }
+
+// TestQuarantineOutlivesRestarts restarts daemons after a call that crashes upstreams was
+// quarantined. The new daemons must refuse it too: from the store if all daemons of the
+// service have ended, and from the other daemons if the store is away.
+func TestQuarantineOutlivesRestarts(t *testing.T) {
+	for _, test := range []struct {
+		name      string
+		restarted int
+		storeDown bool
+	}{
+		{name: "all daemons of the service", restarted: 3},
+		{name: "one daemon while the store is away", restarted: 1, storeDown: true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			var ran atomic.Int32
+			mem, hosts := fleet(c, 3, 3)
+			media := hosts[3:]
+			for _, h := range media {
+				h.upstream.Config.Handler = crashingUpstream{c: c, host: h, ran: &ran}
+			}
+			send := func(h *host) error {
+				call := newCall(plain, 0)
+				call.Path, call.Terms.Attempts = crashPath, 1
+				_, err := h.node.Run(context.Background(), call)
+				return err
+			}
+			eventually(c, func() bool {
+				time.Sleep(100 * time.Millisecond)
+				err := send(hosts[0])
+				return err != nil && calls.AsError(err).Reason() == calls.ReasonQuarantine
+			})
+			for _, h := range media {
+				eventually(c, func() bool { return calls.AsError(send(h)).Reason() == calls.ReasonQuarantine })
+			}
+			mem.SetFaults(store.MemFaults{Down: test.storeDown})
+			before := ran.Load()
+			for _, h := range media[:test.restarted] {
+				h.stop()
+				c.Assert(h.node.Close(), qt.IsNil)
+			}
+			for _, h := range media[:test.restarted] {
+				h.start(c)
+			}
+			for _, h := range media[:test.restarted] {
+				eventually(c, func() bool {
+					_, err := h.node.Run(context.Background(), newCall(plain, 0))
+					return err == nil
+				})
+				c.Check(calls.AsError(send(h)).Reason(), qt.Equals, calls.ReasonQuarantine)
+			}
+			c.Check(ran.Load(), qt.Equals, before)
+		})
+	}
+}
--- a/mesh/crashes.go
+++ b/mesh/crashes.go
@@ -86,6 +86,7 @@
 	}
 	n.quarantine.RecordCrash(service, poison.CrashID(n.settings.Host, service, instance), suspects)
 	n.sendSuspects(suspects)
+	n.queueQuarantined(n.quarantine.ReportFor(service, suspects))
 }
 
 // sendSuspects sends the quarantine's records of the given fingerprints to the other
--- a/mesh/gossip.go
+++ b/mesh/gossip.go
@@ -5,6 +5,7 @@
 
 	"github.com/monsoonmoor/monsoonmoor/gossip"
 	"github.com/monsoonmoor/monsoonmoor/ident"
+	"github.com/monsoonmoor/monsoonmoor/wire"
 )
 
 // sendGossip sends this daemon's view of the fleet to a few other daemons.
@@ -90,13 +91,26 @@
 		n.handleRequest(now, *m.Request)
 	}
 	if m.Suspects != nil {
-		n.quarantine.Merge(m.Suspects)
+		n.mergeSuspects(m.Suspects)
 	}
 	if m.Changed != nil {
 		n.handleVersion(now, m.From.Host, *m.Changed, m.Urgent)
 	}
 }
 
+// mergeSuspects adds the suspects of another daemon. Entries that it lifts are removed from
+// the store, too.
+func (n *Node) mergeSuspects(report *wire.Suspects) {
+	n.quarantine.Merge(report)
+	lifted := &wire.Suspects{}
+	for _, item := range report.Items {
+		if item.Lifted {
+			lifted.Items = append(lifted.Items, item)
+		}
+	}
+	n.queueQuarantined(lifted)
+}
+
 // handleWant sends another daemon the entries of the incarnations that it asked for.
 func (n *Node) handleWant(now time.Time, m gossip.Message) {
 	n.mu.Lock()
@@ -175,6 +189,7 @@
 		n.handleVersion(now, m.From.Host, v, false)
 	}
 	if len(changed) > 0 {
+		n.sendQuarantine(now, changed)
 		n.requestReconcile()
 	}
 }
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -26,6 +26,7 @@
 	"github.com/monsoonmoor/monsoonmoor/store"
 	"github.com/monsoonmoor/monsoonmoor/upconn"
 	"github.com/monsoonmoor/monsoonmoor/vhost"
+	"github.com/monsoonmoor/monsoonmoor/wire"
 )
 
 const (
@@ -63,6 +64,8 @@
 	inFlight   *inFlight
 	answered   *poison.Answered
 	quarantine *poison.Quarantine
+	// quarantineChanges are the entries of the quarantine that wait to be stored.
+	quarantineChanges chan wire.Suspect
 
 	// mu guards the daemon's view of the fleet, the leases, the ownership tables and
 	// the upstream.
@@ -109,6 +112,7 @@
 		clock: clockwork.NewRealClock(), log: logr.Discard(), scope: tally.NoopScope,
 		plans: vhost.NewHolder(), upstreamKeyRates: plan.NewHeat(), callerKeyRates: plan.NewHeat(), retries: sched.NewRetryTracker(), timerLag: cpulag.New(),
 		tables: make(map[ident.Service]*table), changed: make(chan struct{}),
+		quarantineChanges: make(chan wire.Suspect, maxPendingQuarantined),
 		reconcileRequests: make(chan struct{}, 1), probeRequests: make(chan struct{}, 1), ctx: ctx, cancel: cancel,
 	}
 	for _, opt := range opts {
@@ -177,6 +181,8 @@
 func (n *Node) start() {
 	n.followConfig()
 	n.spawn(n.announce)
+	n.spawn(n.restoreQuarantine)
+	n.spawn(n.storeQuarantine)
 	n.spawn(func() { n.every(gossip.DefaultTimings().Interval, n.sendGossip) })
 	n.spawn(n.reconcileLoop)
 	n.spawn(func() { n.every(keyRateInterval, n.updateKeyRates) })
--- a/mesh/source.go
+++ b/mesh/source.go
@@ -124,12 +124,23 @@
 		return
 	}
 	written := false
+	n.retry("presence not exchanged", func(ctx context.Context) error { return n.exchangePresence(ctx, data, &written) })
+}
+
+// retry repeats an exchange with the store, with growing pauses, until it succeeds or the
+// node is closed. An attempt may take two store timeouts. Failure is what the log says of
+// an attempt that failed.
+func (n *Node) retry(failure string, attempt func(ctx context.Context) error) {
 	for backoff := minRetryDelay; n.ctx.Err() == nil; backoff = min(2*backoff, maxRetryDelay) {
-		err := n.exchangePresence(data, &written)
+		ctx, cancel := context.WithCancel(n.ctx)
+		limit := n.clock.AfterFunc(2*storeTimeout, cancel)
+		err := attempt(ctx)
+		limit.Stop()
+		cancel()
 		if err == nil {
 			return
 		}
-		n.log.Info("presence not exchanged, retrying", "err", err.Error())
+		n.log.Info(failure+", retrying", "err", err.Error())
 		timer := n.clock.NewTimer(backoff)
 		select {
 		case <-n.ctx.Done():
@@ -141,11 +152,7 @@
 
 // exchangePresence makes one attempt to write this daemon's presence, unless written is
 // set already, and to contact the daemons whose presences are in the store.
-func (n *Node) exchangePresence(data []byte, written *bool) error {
-	ctx, cancel := context.WithCancel(n.ctx)
-	defer cancel()
-	timer := n.clock.AfterFunc(2*storeTimeout, cancel)
-	defer timer.Stop()
+func (n *Node) exchangePresence(ctx context.Context, data []byte, written *bool) error {
 	if !*written {
 		w := store.Write{Topic: memberTopic, Key: string(n.settings.Host), Value: data, At: store.AnyOffset}
 		if _, err := n.ports.Store.Put(ctx, w); err != nil {
--- a/poison/report.go
+++ b/poison/report.go
@@ -100,6 +100,21 @@
 	return &wire.Suspects{Items: items}
 }
 
+// ReportBlocked returns the blocked entries of a service to send to a peer that may not know
+// them, at most maxTargetedEntries, or nil if there are none.
+func (q *Quarantine) ReportBlocked(service ident.Service) *wire.Suspects {
+	var items []wire.Suspect
+	for _, item := range q.List() {
+		if IsBlocked(item) && item.Service == service && len(items) < maxTargetedEntries {
+			items = append(items, item)
+		}
+	}
+	if len(items) == 0 {
+		return nil
+	}
+	return &wire.Suspects{Items: items}
+}
+
 // toWire returns the form of an entry that peers and operators receive.
 func toWire(id suspectID, s *suspect, left time.Duration) wire.Suspect {
 	return wire.Suspect{
