peers: receive at most 256 KiB of an answer ahead of its reader

Cause: an operators' report (bytes without end until the caller ran out of memory). Between daemons the HTTP/2 library receives up to 4 MiB of each streamed answer ahead of its reader; 18 such answers of each of four faulty endpoints exceed the 284 MB of a daemon. Ruled out by tests that passed before: head, trailer, chunk extension and interim answers without end.

Change: MaxReceiveBufferPerStream. Trailer and chunk extension are new rows of TestHeadWithoutEnd.

--- a/peers/web.go
+++ b/peers/web.go
@@ -46,6 +46,9 @@
 	webIdleTimeout = 90 * time.Second
 	// webMaxStreams is the number of concurrent calls on one connection.
 	webMaxStreams = 1024
+	// webStreamWindow is how many bytes of an answer are received ahead of its reader. The
+	// library's default of 4 MiB takes all memory when many answers have no end.
+	webStreamWindow = 256 << 10
 )
 
 // Paths of the protocol between daemons.
@@ -154,6 +157,7 @@
 		// limit.
 		ExpectContinueTimeout: time.Hour,
 		Protocols:             protocols(config != nil),
+		HTTP2:                 &http.HTTP2Config{MaxReceiveBufferPerStream: webStreamWindow},
 	}
 }
 
--- a/peers/web_test.go
+++ b/peers/web_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -130,10 +131,21 @@
 	c.Assert(err, qt.IsNil)
 }
 
-// endlessBody is a body without end. It records that it was closed.
-type endlessBody struct{ closed chan struct{} }
+// endlessBody is a body without end. It counts the bytes that were read and records that it
+// was closed.
+type endlessBody struct {
+	read   *atomic.Int64
+	closed chan struct{}
+}
+
+func newEndlessBody() endlessBody {
+	return endlessBody{read: new(atomic.Int64), closed: make(chan struct{})}
+}
 
-func (b endlessBody) Read(p []byte) (int, error) { return len(p), nil }
+func (b endlessBody) Read(p []byte) (int, error) {
+	b.read.Add(int64(len(p)))
+	return len(p), nil
+}
 
 func (b endlessBody) Close() error {
 	close(b.closed)
@@ -145,7 +157,7 @@
 // of the call.
 func TestWebStreamEndsAtDeadline(t *testing.T) {
 	c := qt.New(t)
-	body := endlessBody{closed: make(chan struct{})}
+	body := newEndlessBody()
 	server := openWeb(c, func(context.Context, *calls.Call) (*calls.Reply, error) {
 		return &calls.Reply{Status: http.StatusOK, Body: body, Length: -1}, nil
 	})
@@ -162,3 +174,22 @@
 	c.Check(err, qt.IsNotNil)
 	c.Check(reply.Body.Close(), qt.IsNil)
 }
+
+// TestWebBoundsUnreadAnswers forwards a call whose answer has no end and is not read on by
+// the caller. The transport must not receive more of it than a small window: with many such
+// answers, a daemon would run out of memory.
+func TestWebBoundsUnreadAnswers(t *testing.T) {
+	c := qt.New(t)
+	body := newEndlessBody()
+	server := openWeb(c, func(context.Context, *calls.Call) (*calls.Reply, error) {
+		return &calls.Reply{Status: http.StatusOK, Body: body, Length: -1}, nil
+	})
+	reply, err := openWeb(c, nil).Forward(context.Background(), server.Addr(), webCall(""))
+	c.Assert(err, qt.IsNil)
+	var read int64
+	for last := int64(-1); read != last; time.Sleep(200 * time.Millisecond) {
+		last, read = read, body.read.Load()
+	}
+	c.Check(read < 1<<20, qt.IsTrue, qt.Commentf("%d bytes were sent of an answer that nobody reads", read))
+	c.Check(reply.Body.Close(), qt.IsNil)
+}
--- a/upconn/upconn_test.go
+++ b/upconn/upconn_test.go
@@ -312,13 +312,15 @@
 }
 
 // TestHeadWithoutEnd has an upstream that sends the head of an answer without end, in
-// one line and in many. The pool must close the connection after a bounded number of
+// one line and in many, or the trailer or a chunk's extension. The pool must close the connection after a bounded number of
 // bytes and report that the call may have run.
 func TestHeadWithoutEnd(t *testing.T) {
 	for _, test := range []struct{ name, start, block string }{
 		{"one line", "HTTP/1.1 200 OK\r\nX-A: ", strings.Repeat("x", 1<<12)},
 		{"many lines", "HTTP/1.1 200 OK\r\n", strings.Repeat("X-A: b\r\n", 1<<9)},
 		{"no status line", "", strings.Repeat("\xff", 1<<12)},
+		{"trailer", "HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", strings.Repeat("X-A: b\r\n", 1<<9)},
+		{"chunk extension", "HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n1;", strings.Repeat("x", 1<<12)},
 		{"interim answers", "", strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", 1<<8)},
 	} {
 		t.Run(test.name, func(t *testing.T) {
