upconn: a refusal sent again proves nothing of a later call

A refusal proved "not run" for the call that was on the connection if it carried that call's id or none. A call that is sent again on the connection on which it was refused has the id of the repeated refusal, and a refusal without an id fits any call. Callers would be told "not run" for what ran, or it would run at a second endpoint. Ruled out: a repeated refusal with the id of another call (skipped as stale).

Change: a call isn't sent again on a connection that carried its refusal, and a connection is not kept after a refusal without an id. The standalone product, where refusals name no call, closes the connection after each.

--- a/mesh/fleet_test.go
+++ b/mesh/fleet_test.go
@@ -51,6 +51,10 @@
 	return upconn.Matched
 }
 
+func (dialect) Identifies(call *calls.Call, response *http.Response) bool {
+	return response.Header.Get("X-Id") == call.ID
+}
+
 // host is one machine: a node and the upstream beside it.
 type host struct {
 	name     ident.Host
--- a/upconn/conn.go
+++ b/upconn/conn.go
@@ -23,6 +23,8 @@
 	// trouble may send bytes without end.
 	maxHead   = 64 << 10
 	unlimited = math.MaxInt
+	// maxRefused is the number of refused calls that are remembered for a connection.
+	maxRefused = 64
 	// userTimeout is the TCP user timeout, after which the kernel closes a connection
 	// whose sent data is not acknowledged. It is short because the upstream is on the
 	// same host.
@@ -49,6 +51,9 @@
 	// unused is set until the first exchange has ended and the connection was returned
 	// to the pool.
 	unused bool
+	// refused holds the ids of the calls that were refused on this connection. The upstream
+	// may send a refusal once more, which proves nothing of a call that is sent later.
+	refused map[string]bool
 	// generation is the pool's generation at the time when the connection was opened.
 	generation uint64
 }
@@ -61,6 +66,16 @@
 	}
 }
 
+// recordRefusal notes that a call was refused on this connection. It returns false when the
+// connection must not be used again, since too many were.
+func (c *conn) recordRefusal(id string) bool {
+	if c.refused == nil {
+		c.refused = make(map[string]bool)
+	}
+	c.refused[id] = true
+	return len(c.refused) < maxRefused
+}
+
 // readHead reads the head of a response, which may have maxHead bytes.
 func (c *conn) readHead(request *http.Request) (*http.Response, error) {
 	c.input.left = maxHead
--- a/upconn/dialect.go
+++ b/upconn/dialect.go
@@ -39,4 +39,6 @@
 	// Classify classifies an answer to the call by its status and header, without reading
 	// its body.
 	Classify(call *calls.Call, instance string, response *http.Response) AnswerKind
+	// Identifies reports whether the header of an answer names the call.
+	Identifies(call *calls.Call, response *http.Response) bool
 }
--- a/upconn/exchange.go
+++ b/upconn/exchange.go
@@ -53,7 +53,7 @@
 	if left <= 0 {
 		return nil, calls.NewNotRun(calls.ReasonDeadline)
 	}
-	c, failure := p.get(ctx, call.Terms.Repeatable)
+	c, failure := p.get(ctx, call)
 	if failure != nil {
 		return nil, failure
 	}
@@ -129,12 +129,21 @@
 			return x.readAnswer(ctx, response, sent)
 		case NotRun, Misdirected, KeyNotHeld:
 			x.updateReusable(response, sent, discardBody(response))
+			x.recordRefusal(response)
 			return nil, notRunError(reading, response)
 		}
 	}
 	return nil, x.lostError(ctx, errStale)
 }
 
+// recordRefusal keeps a refusal that the upstream sends once more from being taken for that of
+// a later call: the call it names is not sent on this connection again, and after one that
+// names no call the connection is not reused.
+func (x *exchange) recordRefusal(response *http.Response) {
+	named := x.pool.dialect.Identifies(x.call, response)
+	x.reusable = x.reusable && named && x.conn.recordRefusal(x.call.ID)
+}
+
 // send writes the request to the connection.
 func (x *exchange) send(request *http.Request) error {
 	if err := request.Write(x.conn.bw); err != nil {
--- a/upconn/pool.go
+++ b/upconn/pool.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -120,12 +121,12 @@
 	return nil
 }
 
-// get returns a connection for a call: an idle one without pending input, or else a
-// new one. For a call that must not run twice, it reuses only a connection that was
-// idle for at most maxNonRepeatableIdle.
-func (p *Pool) get(ctx context.Context, repeatable bool) (*conn, *calls.Error) {
+// get returns a connection for a call: an idle one without pending input on which the call
+// was not refused before, or else a new one. For a call that must not run twice, it reuses
+// only a connection that was idle for at most maxNonRepeatableIdle.
+func (p *Pool) get(ctx context.Context, call *calls.Call) (*conn, *calls.Error) {
 	for {
-		c := p.popIdle(repeatable)
+		c := p.popIdle(call)
 		if c == nil {
 			return p.dial(ctx)
 		}
@@ -137,19 +138,33 @@
 	}
 }
 
-// popIdle removes the most recently used idle connection from the pool and returns it.
-// It returns nil if that connection has been idle for too long. It then closes all idle
-// connections, which are older still, if the call is repeatable. Otherwise it keeps
-// them for repeatable calls, whose limit can be higher.
-func (p *Pool) popIdle(repeatable bool) *conn {
+// popIdle removes the most recently used idle connection on which the call was not refused
+// from the pool and returns it. It returns nil if that connection has been idle for too
+// long. It then closes it and those that have been idle for longer, if the call is
+// repeatable. Otherwise it keeps them for repeatable calls, whose limit can be higher.
+func (p *Pool) popIdle(call *calls.Call) *conn {
 	now := p.clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	n := len(p.idle)
-	if n == 0 {
-		return nil
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		c := p.idle[i]
+		if now.Sub(c.lastUsed) > p.idleLimit(c, call.Terms.Repeatable) {
+			if call.Terms.Repeatable {
+				p.closeOldest(i + 1)
+			}
+			return nil
+		}
+		if !c.refused[call.ID] {
+			p.idle = slices.Delete(p.idle, i, i+1)
+			return c
+		}
 	}
-	c := p.idle[n-1]
+	return nil
+}
+
+// idleLimit returns how long a connection may have been idle before it carries a call. The
+// pool's mutex must be held.
+func (p *Pool) idleLimit(c *conn, repeatable bool) time.Duration {
 	limit := c.idleTimeout
 	if p.learnedIdleTimeout > 0 {
 		limit = min(limit, p.learnedIdleTimeout)
@@ -157,22 +172,16 @@
 	if !repeatable {
 		limit = min(limit, maxNonRepeatableIdle)
 	}
-	if now.Sub(c.lastUsed) > limit {
-		if repeatable {
-			p.closeAllIdle()
-		}
-		return nil
-	}
-	p.idle = p.idle[:n-1]
-	return c
+	return limit
 }
 
-// closeAllIdle closes all idle connections. The pool's mutex must be held.
-func (p *Pool) closeAllIdle() {
-	for _, c := range p.idle {
+// closeOldest closes the n connections that have been idle longest. The pool's mutex must
+// be held.
+func (p *Pool) closeOldest(n int) {
+	for _, c := range p.idle[:n] {
 		_ = c.Close()
 	}
-	p.idle = nil
+	p.idle = slices.Delete(p.idle, 0, n)
 }
 
 // put returns a connection to the pool. It closes the connection if its generation is
@@ -187,8 +196,7 @@
 	}
 	p.idle = append(p.idle, c)
 	if len(p.idle) > maxIdleConns {
-		_ = p.idle[0].Close()
-		p.idle = p.idle[1:]
+		p.closeOldest(1)
 	}
 }
 
--- a/upconn/upconn_test.go
+++ b/upconn/upconn_test.go
@@ -10,6 +10,7 @@
 	"net/url"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -43,6 +44,10 @@
 	return upconn.Matched
 }
 
+func (dialect) Identifies(call *calls.Call, response *http.Response) bool {
+	return response.Header.Get("X-Id") == call.ID
+}
+
 // server is an upstream that calls script for each request; n is the index of the
 // request on its connection.
 type server struct {
@@ -229,6 +234,48 @@
 	}
 }
 
+// TestRefusalSentAgain has an upstream that refuses a call and keeps the connection. When the
+// next request arrives on it, the upstream sends the refusal once more and runs the request.
+// That refusal must not be taken for the one of the next call, nor of the same call when it
+// is sent again, which would be reported as not run and run a second time.
+func TestRefusalSentAgain(t *testing.T) {
+	for _, test := range []struct {
+		name, header string
+		// next is the id of the call that follows the refused one, "1".
+		next string
+	}{
+		{"with the id, before another call", "X-Id: 1\r\n", "2"},
+		{"with the id, before the same call", "X-Id: 1\r\n", "1"},
+		{"without an id, before another call", "", "2"},
+		{"without an id, before the same call", "", "1"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			refusal := "HTTP/1.1 503 Busy\r\nX-No: 1\r\n" + test.header + "Content-Length: 0\r\n\r\n"
+			var refused atomic.Bool
+			s := serve(c, func(conn net.Conn, br *bufio.Reader, n int) {
+				id := read(br)
+				if refused.CompareAndSwap(false, true) {
+					_, _ = io.WriteString(conn, refusal)
+					return
+				}
+				if n > 0 {
+					_, _ = io.WriteString(conn, refusal)
+				}
+				_, _ = io.WriteString(conn, answer(id, "ran"))
+			})
+			p := upconn.New(s.listener.Addr().String(), dialect{})
+			_, err := p.Run(context.Background(), call("1", false), "life")
+			c.Assert(calls.AsError(err).Outcome(), qt.Equals, calls.NotRun)
+			reply, err := p.Run(context.Background(), call(test.next, false), "life")
+			c.Assert(err, qt.IsNil)
+			data, err := io.ReadAll(reply.Body)
+			c.Assert(err, qt.IsNil)
+			c.Check(string(data), qt.Equals, "ran")
+		})
+	}
+}
+
 func TestAnswerBeforeTheBodyIsRead(t *testing.T) {
 	c := qt.New(t)
 	s := serve(c, func(conn net.Conn, br *bufio.Reader, _ int) {
--- a/upstrm/exchange.go
+++ b/upstrm/exchange.go
@@ -113,6 +113,7 @@
 func (f *inflightCall) handleResponse(ctx context.Context, response *http.Response, stop func()) (*calls.Reply, *calls.Error) {
 	if response.StatusCode >= http.StatusBadRequest && response.Header.Get(calls.HeaderRan) == "no" {
 		_, _ = io.CopyN(io.Discard, response.Body, maxDiscardBytes)
+		f.closeConnection()
 		f.sent.Store(false)
 		return nil, refusal(response)
 	}
@@ -150,6 +151,15 @@
 	return reply, nil
 }
 
+// closeConnection closes the connection that carried a refused call. A refusal does not name
+// its call: if the upstream sends it once more, it must not be taken for that of the next
+// call on the same connection.
+func (f *inflightCall) closeConnection() {
+	if c, _ := f.connection(); c != nil {
+		_ = c.Close()
+	}
+}
+
 // bufferResponse reads the complete response body into memory and finishes the
 // call.
 func (f *inflightCall) bufferResponse(ctx context.Context, response *http.Response, reply *calls.Reply, length int64, stop func()) (*calls.Reply, *calls.Error) {
--- a/upstrm/outcome_test.go
+++ b/upstrm/outcome_test.go
@@ -137,6 +137,39 @@
 	}
 }
 
+// TestRefusalSentAgain has an upstream that refuses a call and keeps the connection. When the
+// next request arrives on it, the upstream runs it but sends the refusal once more. The next
+// call must not be reported as not run.
+func TestRefusalSentAgain(t *testing.T) {
+	const refusal = "HTTP/1.1 429 Too Many Requests\r\nMoor-Ran: no\r\nContent-Length: 0\r\n\r\n"
+	c := qt.New(t)
+	var first atomic.Bool
+	x, _ := newExecutor(t, newView(), http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if !first.CompareAndSwap(false, true) {
+			return
+		}
+		conn, rw, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		for {
+			_, _ = io.WriteString(conn, refusal)
+			r, err := http.ReadRequest(rw.Reader)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, r.Body)
+		}
+	}))
+	got, reason, _ := outcome(x, newCall(http.MethodPost, "r1", "stop"))
+	c.Assert(got, qt.Equals, calls.NotRun)
+	c.Assert(reason, qt.Equals, calls.ReasonUpstreamShed)
+	got, _, reply := outcome(x, newCall(http.MethodPost, "r1", "go"))
+	c.Assert(got, qt.Equals, calls.Answered)
+	c.Assert(reply.Body.Close(), qt.IsNil)
+}
+
 // TestLargeAnswerCutMidway truncates answers of two sizes. Truncation of a
 // buffered answer is found before the caller gets a reply; truncation of a
 // streamed one is an error of the reply's body.
