mesh: tests take ports of their own and wait for both services

Change: tests listen on loopback addresses that differ by test process and host, also for the upstreams, which are closed and opened again at one address. fleet waits for the service without keys, too.

Tried and reverted: waiting until each host holds keys, which a host that joins an idle fleet may never do.

--- a/mesh/fleet_test.go
+++ b/mesh/fleet_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -72,10 +73,22 @@
 	stop  context.CancelFunc
 }
 
+// addrs counts the addresses on which listenLocal has listened.
+var addrs atomic.Uint32
+
+// listenLocal listens on a port of a loopback address of its own, different also from those
+// of other test processes. The port can be closed and opened again without another
+// test taking it meanwhile.
+func listenLocal(c *qt.C) net.Listener {
+	pid := os.Getpid()
+	l, err := net.Listen("tcp4", fmt.Sprintf("127.%d.%d.%d:0", 64+pid%128, pid/128%256, 1+addrs.Add(1)%250))
+	c.Assert(err, qt.IsNil)
+	return l
+}
+
 // freeAddr returns an address on which nothing listens.
 func freeAddr(c *qt.C) string {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	c.Assert(err, qt.IsNil)
+	l := listenLocal(c)
 	defer func() { _ = l.Close() }()
 	return l.Addr().String()
 }
@@ -100,7 +113,8 @@
 
 func newHost(c *qt.C, name string, service ident.Service, mem *store.Mem) *host {
 	h := &host{name: ident.Host(name), service: service, peers: freeAddr(c), store: mem}
-	h.upstream = httptest.NewServer(h)
+	h.upstream = &httptest.Server{Listener: listenLocal(c), Config: &http.Server{Handler: h}}
+	h.upstream.Start()
 	h.start(c)
 	c.Cleanup(func() { h.close() })
 	return h
@@ -174,7 +188,7 @@
 }
 
 // fleet starts hosts of both services and waits until every host can reach the owners
-// of all keys.
+// of all keys and the upstreams of the service without keys.
 func fleet(c *qt.C, events, media int) (*store.Mem, []*host) {
 	mem := store.NewMem(clockwork.NewRealClock())
 	_, err := mem.Put(context.Background(), store.Write{Topic: "op", Key: "config", Value: []byte("x"), At: store.AnyOffset})
@@ -191,6 +205,13 @@
 		for _, key := range []uint32{0, 20000, 40000, 65535} {
 			eventually(c, func() bool { return call(h.node, key) == nil })
 		}
+		eventually(c, func() bool {
+			if media == 0 {
+				return true
+			}
+			_, err := h.node.Run(context.Background(), newCall(plain, 0))
+			return err == nil
+		})
 	}
 	return mem, hosts
 }
