mesh: name the limits of a stopping daemon by what they do

Cause: read as a newcomer: startBy was not a time by which anything starts, and the set of stored calls kept those that were lifted.

Change: openUntil, two comments, lifted calls leave the set. No decision changes.

Result: tests of mesh that crash, stop and quarantine pass.

--- a/mesh/quarantine.go
+++ b/mesh/quarantine.go
@@ -34,7 +34,7 @@
 }
 
 // suspect returns the record as a report for the quarantine, whose expiry is counted from
-// now.
+// now. Only blocked entries are stored, so it is marked as one.
 func (q *quarantined) suspect(now time.Time) wire.Suspect {
 	return wire.Suspect{
 		Service: q.Service, Fingerprint: q.Fingerprint, Crashes: q.Crashes,
@@ -72,7 +72,11 @@
 			if item.Lifted && !written[item.Fingerprint] {
 				continue
 			}
-			written[item.Fingerprint] = !item.Lifted
+			if item.Lifted {
+				delete(written, item.Fingerprint)
+			} else {
+				written[item.Fingerprint] = true
+			}
 			until := n.clock.Now().Add(item.Left)
 			n.retry("quarantined call not stored", func(ctx context.Context) error {
 				if n.clock.Now().After(until) {
--- a/mesh/stop.go
+++ b/mesh/stop.go
@@ -47,26 +47,26 @@
 
 // callLimits bounds the calls of a daemon that is about to end.
 type callLimits struct {
-	// startBy is the time from which a call is started only if its deadline is before
-	// answerBy.
-	startBy time.Time
+	// openUntil is when the daemon stops starting calls whose deadline is after answerBy.
+	openUntil time.Time
 	// answerBy is when all calls must have been answered.
 	answerBy time.Time
 }
 
 // LimitCalls bounds the calls of a daemon that ends shortly after answerBy, whether they
-// come from its own callers or are forwarded by other daemons. From startBy on, a call
-// whose deadline is later than answerBy is refused as not run, since the end of the daemon
-// could cut it off. The calls of its own callers also get answerBy as their deadline.
-func (n *Node) LimitCalls(startBy, answerBy time.Time) {
-	n.callLimits.Store(&callLimits{startBy: startBy, answerBy: answerBy})
+// come from its own callers or are forwarded by other daemons. Until openUntil every call
+// is started; from then on, one whose deadline is after answerBy is refused as not run, since
+// the end of the daemon could cut it off. The calls of its own callers also get answerBy as
+// their deadline.
+func (n *Node) LimitCalls(openUntil, answerBy time.Time) {
+	n.callLimits.Store(&callLimits{openUntil: openUntil, answerBy: answerBy})
 }
 
 // refuseUnfinishable returns the error for a call that must not start any more, since the
 // daemon may end before the call does, and nil for any other call.
 func (n *Node) refuseUnfinishable(now time.Time, call *calls.Call) *calls.Error {
 	l := n.callLimits.Load()
-	if l == nil || now.Before(l.startBy) || call.Deadline.Before(l.answerBy) {
+	if l == nil || now.Before(l.openUntil) || call.Deadline.Before(l.answerBy) {
 		return nil
 	}
 	return calls.NewNotRun(calls.ReasonDraining, calls.WithRetryAfter(max(moveRetryAfter, l.answerBy.Sub(now))))
