--- a/mesh/crash_test.go
+++ b/mesh/crash_test.go
@@ -71,6 +71,14 @@
 	go h.sendHeartbeats(ctx, h.node, time.Now().UnixMilli())
 }
 
+// sendOnce sends a call without a key to a path, which is attempted once.
+func (h *host) sendOnce(path string) error {
+	call := newCall(plain, 0)
+	call.Path, call.Terms.Attempts = path, 1
+	_, err := h.node.Run(context.Background(), call)
+	return err
+}
+
 // TestCallThatCrashesUpstreams repeats a call that crashes every upstream that runs it,
 // mixed with harmless calls. The call must be quarantined after the third crash, while
 // the other calls are still served.
@@ -82,12 +90,7 @@
 	for _, h := range media {
 		h.upstream.Config.Handler = crashingUpstream{c: c, host: h, ran: &ran}
 	}
-	send := func(i int) error {
-		call := newCall(plain, 0)
-		call.Path, call.Terms.Attempts = crashPath, 1
-		_, err := hosts[i%len(hosts)].node.Run(context.Background(), call)
-		return err
-	}
+	send := func(i int) error { return hosts[i%len(hosts)].sendOnce(crashPath) }
 	quarantined := 0
 	for i := 0; quarantined < 5 && i < 60; i++ {
 		if err := send(i); err != nil && calls.AsError(err).Reason() == calls.ReasonQuarantine {
@@ -118,20 +121,14 @@
 		upstreams[i] = crashingUpstream{c: c, host: h, ran: new(atomic.Int32)}
 		h.upstream.Config.Handler = upstreams[i]
 	}
-	send := func(h *host) error {
-		call := newCall(plain, 0)
-		call.Path, call.Terms.Attempts = slowPath, 1
-		_, err := h.node.Run(context.Background(), call)
-		return err
-	}
 	for _, h := range hosts {
-		eventually(c, func() bool { return send(h) == nil })
+		eventually(c, func() bool { return h.sendOnce(slowPath) == nil })
 	}
 	for range 2 {
 		var running sync.WaitGroup
 		for range 4 {
 			for _, h := range hosts {
-				running.Go(func() { _ = send(h) })
+				running.Go(func() { _ = h.sendOnce(slowPath) })
 			}
 		}
 		time.Sleep(slowTime / 2)
@@ -140,7 +137,7 @@
 		}
 		running.Wait()
 		for _, h := range hosts {
-			eventually(c, func() bool { return send(h) == nil })
+			eventually(c, func() bool { return h.sendOnce(slowPath) == nil })
 		}
 	}
 }
@@ -150,8 +147,9 @@
 const contact = 3 * time.Second
 
 // TestQuarantineOutlivesRestarts restarts daemons after a call that crashes upstreams was
-// quarantined. The new daemons must refuse it too, once contact has passed: from the store if all daemons of the
-// service have ended, and from the other daemons if the store is away.
+// quarantined. Once contact has passed, the new daemons must refuse it too. They learn of it
+// from the store if all daemons of the service have ended, and from the other daemons if
+// the store is away.
 func TestQuarantineOutlivesRestarts(t *testing.T) {
 	for _, test := range []struct {
 		name      string
@@ -169,19 +167,13 @@
 			for _, h := range media {
 				h.upstream.Config.Handler = crashingUpstream{c: c, host: h, ran: &ran}
 			}
-			send := func(h *host) error {
-				call := newCall(plain, 0)
-				call.Path, call.Terms.Attempts = crashPath, 1
-				_, err := h.node.Run(context.Background(), call)
-				return err
-			}
 			eventually(c, func() bool {
 				time.Sleep(100 * time.Millisecond)
-				err := send(hosts[0])
+				err := hosts[0].sendOnce(crashPath)
 				return err != nil && calls.AsError(err).Reason() == calls.ReasonQuarantine
 			})
 			for _, h := range media {
-				eventually(c, func() bool { return calls.AsError(send(h)).Reason() == calls.ReasonQuarantine })
+				eventually(c, func() bool { return calls.AsError(h.sendOnce(crashPath)).Reason() == calls.ReasonQuarantine })
 			}
 			mem.SetFaults(store.MemFaults{Down: test.storeDown})
 			before := ran.Load()
@@ -200,7 +192,7 @@
 			}
 			time.Sleep(contact)
 			for _, h := range media[:test.restarted] {
-				c.Check(calls.AsError(send(h)).Reason(), qt.Equals, calls.ReasonQuarantine)
+				c.Check(calls.AsError(h.sendOnce(crashPath)).Reason(), qt.Equals, calls.ReasonQuarantine)
 			}
 			c.Check(ran.Load(), qt.Equals, before)
 		})
