upstrm: the end of a refused call's connection fails no other call

The HTTP transport returns a connection to its pool before the response is seen. Since the connection of a refused call is closed after that, and a call that had taken it in between was cut off: 503 upstream-down, or upstream-lost for a call that had been sent.

Change: a call that gets a connection waits until the call before it has decided whether the connection may be used again. If not, nothing can be written to the connection, and the call is sent on another one.

--- a/upstrm/conn.go
+++ b/upstrm/conn.go
@@ -16,6 +16,9 @@
 	clock    clockwork.Clock
 	sealed   atomic.Bool
 	activeAt atomic.Int64
+	// turn holds a value while a call has the connection and has not decided whether
+	// later calls may use it. The transport returns a connection to its pool before.
+	turn chan struct{}
 
 	mu      sync.Mutex
 	written int64
@@ -45,6 +48,12 @@
 	return n, err
 }
 
+// acquire waits until the previous call on the connection has called release.
+func (c *conn) acquire() { c.turn <- struct{}{} }
+
+// release lets the next call on the connection proceed.
+func (c *conn) release() { <-c.turn }
+
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.run.mu.Lock()
--- a/upstrm/exchange.go
+++ b/upstrm/exchange.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
@@ -74,7 +75,44 @@
 	if buffered, ok := f.call.Body.(*calls.Buffered); ok {
 		return io.NopCloser(bytes.NewReader(buffered.Bytes()))
 	}
-	return io.NopCloser(f.call.Body)
+	return io.NopCloser(&streamedBody{inflight: f, attempt: f.attempt})
+}
+
+// streamedBody is the request body of one attempt to send a call. It does not consume the body
+// of the call if the attempt got a sealed connection, so that the next one can send it.
+type streamedBody struct {
+	inflight *inflightCall
+	attempt  int
+}
+
+// Read implements io.Reader.
+func (b *streamedBody) Read(p []byte) (int, error) {
+	f := b.inflight
+	f.mu.Lock()
+	usable := f.attempt == b.attempt && !f.sealedBefore
+	f.mu.Unlock()
+	if !usable {
+		return 0, net.ErrClosed
+	}
+	return f.call.Body.Read(p)
+}
+
+// send sends the request and returns the head of the upstream's response. It uses another
+// connection if the one from the pool was sealed by the call before.
+func (f *inflightCall) send(ctx context.Context, request *http.Request) (*http.Response, error) {
+	for {
+		response, err := f.target.tripper.RoundTrip(request)
+		if err == nil {
+			return response, nil
+		}
+		f.releaseConnection()
+		if !f.nextAttempt() {
+			return nil, fmt.Errorf("send call: %w", err)
+		}
+		if request, err = f.request(ctx); err != nil {
+			return nil, fmt.Errorf("send call again: %w", err)
+		}
+	}
 }
 
 // classify returns the outcome of a call that ended with a transport error. The
@@ -113,10 +151,11 @@
 func (f *inflightCall) handleResponse(ctx context.Context, response *http.Response, stop func()) (*calls.Reply, *calls.Error) {
 	if response.StatusCode >= http.StatusBadRequest && response.Header.Get(calls.HeaderRan) == "no" {
 		_, _ = io.CopyN(io.Discard, response.Body, maxDiscardBytes)
-		f.closeConnection()
+		f.sealConnection()
 		f.sent.Store(false)
 		return nil, refusal(response)
 	}
+	f.releaseConnection()
 	if err := f.checkLease(); err != nil {
 		return nil, err
 	}
@@ -151,13 +190,14 @@
 	return reply, nil
 }
 
-// closeConnection closes the connection that carried a refused call. A refusal does not name
-// its call: if the upstream sends it once more, it must not be taken for that of the next
-// call on the same connection.
-func (f *inflightCall) closeConnection() {
-	if c, _ := f.connection(); c != nil {
-		_ = c.Close()
+// sealConnection keeps the connection that carried a refused call from being used again. A
+// refusal does not name its call: if the upstream sends it once more, it must not be taken for
+// that of the next call on the same connection.
+func (f *inflightCall) sealConnection() {
+	if c, mark := f.connection(); c != nil {
+		c.seal(mark)
 	}
+	f.releaseConnection()
 }
 
 // bufferResponse reads the complete response body into memory and finishes the
--- a/upstrm/flight.go
+++ b/upstrm/flight.go
@@ -47,8 +47,15 @@
 	cancel        context.CancelCauseFunc
 	conn          *conn
 	writtenBefore int64
-	finished      bool
-	trace         httptrace.ClientTrace
+	// sealedBefore is set if conn is the call's first connection and was sealed when the
+	// call got it, so that no byte of the call was written.
+	sealedBefore bool
+	// connHeld is set until the next call on conn may proceed.
+	connHeld bool
+	// attempt counts the sealed connections that the call got.
+	attempt  int
+	finished bool
+	trace    httptrace.ClientTrace
 	// reservedBody is the number of bytes reserved for the request body in the
 	// executor's memory budget.
 	reservedBody int64
@@ -194,7 +201,7 @@
 	start := f.executor.clock.Now()
 	f.waitingSince.Store(start.UnixNano())
 	f.sent.Store(true)
-	response, err := f.target.tripper.RoundTrip(request)
+	response, err := f.send(ctx, request)
 	f.waitingSince.Store(0)
 	f.serviceTime = f.executor.clock.Now().Sub(start)
 	if err != nil {
@@ -252,15 +259,18 @@
 	if !ok {
 		return
 	}
+	f.releaseConnection()
+	c.acquire()
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.connHeld = true
 	if f.conn != nil {
 		// An earlier connection may have carried bytes of the call: one less
 		// than the current count makes seal report that bytes were written.
 		f.conn, f.writtenBefore = c, c.bytesWritten()-1
 		return
 	}
-	f.conn, f.writtenBefore = c, c.bytesWritten()
+	f.conn, f.writtenBefore, f.sealedBefore = c, c.bytesWritten(), c.sealed.Load()
 }
 
 // connection returns the connection that carries the call, if any, and the
@@ -271,6 +281,31 @@
 	return f.conn, f.writtenBefore
 }
 
+// releaseConnection lets the next call on the connection proceed. Calls after the first have
+// no effect.
+func (f *inflightCall) releaseConnection() {
+	f.mu.Lock()
+	c, held := f.conn, f.connHeld
+	f.connHeld = false
+	f.mu.Unlock()
+	if held {
+		c.release()
+	}
+}
+
+// nextAttempt reports whether the call can be sent on another connection, since the only one
+// that it got was sealed before. It drops that one.
+func (f *inflightCall) nextAttempt() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.sealedBefore {
+		return false
+	}
+	f.conn, f.sealedBefore = nil, false
+	f.attempt++
+	return true
+}
+
 // fail finishes a call that has no answer.
 func (f *inflightCall) fail(err error) {
 	e := calls.AsError(err)
--- a/upstrm/outcome_test.go
+++ b/upstrm/outcome_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -170,6 +172,42 @@
 	c.Assert(reply.Body.Close(), qt.IsNil)
 }
 
+// TestRefusalsFailNoOtherCalls has an upstream that refuses every second call. The connections
+// that carried a refusal are closed, which must not fail or truncate the calls that come next.
+func TestRefusalsFailNoOtherCalls(t *testing.T) {
+	for name, size := range map[string]int{"buffered body": 10, "streamed body": 2 << 20} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			var served atomic.Int32
+			x, _ := newExecutor(t, newView(), http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				n, _ := io.Copy(io.Discard, r.Body)
+				c.Check(n, qt.Equals, int64(size))
+				if served.Add(1)%2 == 0 {
+					refuse(http.StatusTooManyRequests)(w, r)
+				}
+			}))
+			body := strings.Repeat("b", size)
+			var wg sync.WaitGroup
+			for range 8 {
+				wg.Go(func() {
+					for range 50 {
+						call := newCall(http.MethodPost, "r1", body)
+						call.Body = io.NopCloser(strings.NewReader(body))
+						got, reason, reply := outcome(x, call)
+						if reply != nil {
+							c.Check(reply.Body.Close(), qt.IsNil)
+						}
+						if reason != calls.ReasonUpstreamShed {
+							c.Check(got, qt.Equals, calls.Answered, qt.Commentf("%s", reason))
+						}
+					}
+				})
+			}
+			wg.Wait()
+		})
+	}
+}
+
 // TestLargeAnswerCutMidway truncates answers of two sizes. Truncation of a
 // buffered answer is found before the caller gets a reply; truncation of a
 // streamed one is an error of the reply's body.
--- a/upstrm/target.go
+++ b/upstrm/target.go
@@ -147,7 +147,7 @@
 }
 
 func (t *target) addConn(raw net.Conn, x *Executor) (net.Conn, error) {
-	c := &conn{Conn: raw, run: t, clock: x.clock}
+	c := &conn{Conn: raw, run: t, clock: x.clock, turn: make(chan struct{}, 1)}
 	c.activeAt.Store(x.clock.Now().UnixNano())
 	t.mu.Lock()
 	defer t.mu.Unlock()
