upstrm: a call that may have been written is not sent again

Cause: found by reading. When the transport itself moves a call from a sealed connection to another one, the call still counted as not written, and would have been sent once more if the second connection was lost.

Change: only a call whose single connection was sealed before is sent on another one.

--- a/upstrm/flight.go
+++ b/upstrm/flight.go
@@ -267,7 +267,7 @@
 	if f.conn != nil {
 		// An earlier connection may have carried bytes of the call: one less
 		// than the current count makes seal report that bytes were written.
-		f.conn, f.writtenBefore = c, c.bytesWritten()-1
+		f.conn, f.writtenBefore, f.sealedBefore = c, c.bytesWritten()-1, false
 		return
 	}
 	f.conn, f.writtenBefore, f.sealedBefore = c, c.bytesWritten(), c.sealed.Load()
