--- a/upstrm/outcome_test.go
+++ b/upstrm/outcome_test.go
@@ -208,6 +208,32 @@
 	}
 }
 
+// TestNeverSentTwiceAfterARefusal has an upstream that refuses a call and closes the connection,
+// and loses the next call. That call may have run and must not be sent on a third connection.
+func TestNeverSentTwiceAfterARefusal(t *testing.T) {
+	const refusal = "HTTP/1.1 429 Too Many Requests\r\nMoor-Ran: no\r\nContent-Length: 0\r\n\r\n"
+	c := qt.New(t)
+	var refused atomic.Bool
+	var runs atomic.Int32
+	x, _ := newExecutor(t, newView(), http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if refused.CompareAndSwap(false, true) {
+			hijack(refusal)(w, r)
+			return
+		}
+		runs.Add(1)
+		hijack("")(w, r)
+	}))
+	for range 100 {
+		refused.Store(false)
+		runs.Store(0)
+		got, _, _ := outcome(x, newCall(http.MethodPost, "r1", "stop"))
+		c.Assert(got, qt.Equals, calls.NotRun)
+		got, _, _ = outcome(x, newCall(http.MethodPost, "r1", "go"))
+		c.Assert(got, qt.Equals, calls.Unknown)
+		c.Assert(runs.Load(), qt.Equals, int32(1))
+	}
+}
+
 // TestLargeAnswerCutMidway truncates answers of two sizes. Truncation of a
 // buffered answer is found before the caller gets a reply; truncation of a
 // streamed one is an error of the reply's body.
