sched: limit the calls that start at a cold upstream

Cause: an upstream that is cold crashes at a rate well above the one that the configuration gives (warmup_per_s), and no request may exceed it by more than a bound.

Change: while the upstream's heartbeats say that it is cold, at most warmup_per_s x warmup_overage calls start in any second, counted over a sliding window that also holds the starts from before. The wait and the capacity that others see follow. Nothing changes where the configuration has no warmup_per_s.

--- a/mesh/counts.go
+++ b/mesh/counts.go
@@ -23,6 +23,7 @@
 type metrics struct {
 	answered, failed, notRun, unknown tally.Counter
 	latency, refusal                  tally.Histogram
+	warmup                            tally.Gauge
 	writes                            map[owner.Outcome]tally.Counter
 	commands                          map[holds.Outcome]tally.Counter
 }
@@ -36,6 +37,7 @@
 		unknown:  scope.Counter("mesh_unknown"),
 		latency:  scope.Histogram("mesh_answer_seconds", buckets),
 		refusal:  scope.Histogram("mesh_refusal_seconds", buckets),
+		warmup:   scope.Gauge("mesh_warmup_seconds"),
 		writes:   make(map[owner.Outcome]tally.Counter),
 		commands: make(map[holds.Outcome]tally.Counter),
 	}
--- a/mesh/desk.go
+++ b/mesh/desk.go
@@ -171,6 +171,7 @@
 	if begun && !ending {
 		n.handleCrash(before)
 	}
+	n.paceWarmup()
 	if changed {
 		n.applyUpstreamChange(hb, begun, left.Equal(now))
 	}
--- a/mesh/settings.go
+++ b/mesh/settings.go
@@ -33,6 +33,9 @@
 	GrantsByCall bool
 	// Drain is how long calls may still be sent to a leaving upstream.
 	Drain time.Duration
+	// WarmupOverage is the factor by which the calls that a cold upstream gets may exceed
+	// its warm-up rate; values below 1 stand for 1.
+	WarmupOverage float64
 	// RetryRatio and RetrySlack limit the retried calls that reach upstreams, for the
 	// whole fleet within RetryWindow.
 	RetryRatio  float64
--- a/mesh/source.go
+++ b/mesh/source.go
@@ -98,6 +98,7 @@
 	n.state.Update(func(e *gossip.Entry) { e.Versions = n.documentVersions() })
 	n.notify()
 	n.mu.Unlock()
+	n.paceWarmup()
 	n.ready.Store(!n.isStopping())
 	n.requestReconcile()
 }
--- a/sched/gate.go
+++ b/sched/gate.go
@@ -48,6 +48,21 @@
 	g.dispatch()
 }
 
+// SetWarmup limits the calls that start in any second before the given time, at which the
+// upstream has warmed up. A limit of 0 stands for none.
+func (g *Gate) SetWarmup(limit int, until time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.queue.SetWarmup(limit, until)
+}
+
+// IsCold reports whether starts are limited since the upstream is cold.
+func (g *Gate) IsCold() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.queue.warmup.active(g.clock.Now())
+}
+
 // ResetServiceTimes discards the measured service times. It is called when the upstream has
 // restarted.
 func (g *Gate) ResetServiceTimes() {
@@ -162,7 +177,7 @@
 func (g *Gate) LongestWait() time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.queue.LongestWait()
+	return g.queue.LongestWait(g.clock.Now())
 }
 
 // Load returns the arrival rate of calls and the rate at which the upstream can serve
--- a/sched/queue.go
+++ b/sched/queue.go
@@ -110,6 +110,7 @@
 	runningWork time.Duration
 
 	offered, served rate
+	warmup          warmup
 	// meanService is the mean service time over the mix of calls that arrive.
 	meanService time.Duration
 	// arrivingWork is the service time that arrives per second, in seconds, by
@@ -129,6 +130,10 @@
 // Announce sets the number of calls that the upstream runs concurrently.
 func (q *Queue) Announce(slots int) { q.slots = max(0, slots) }
 
+// SetWarmup limits the calls that start in any second before the given time, at which the
+// upstream has warmed up. A limit of 0 stands for none.
+func (q *Queue) SetWarmup(limit int, until time.Time) { q.warmup.limit, q.warmup.until = limit, until }
+
 // Slots returns the number of calls that the upstream runs concurrently.
 func (q *Queue) Slots() int { return q.slots }
 
@@ -161,11 +166,11 @@
 	service := q.ServiceTime(d.Class)
 	q.updateMeanService(service)
 	q.recordArrivingWork(now, d.Priority, service)
-	if q.running < q.slots && len(q.waiting) == 0 {
+	if q.canStart(now) && len(q.waiting) == 0 {
 		if d.GiveUp.Sub(now) <= 0 {
 			return nil, Refuse, minRetryAfter
 		}
-		q.start(service)
+		q.start(now, service)
 		return nil, Run, 0
 	}
 	wait := q.estimateWait(now, d, service)
@@ -190,21 +195,22 @@
 		return true
 	}
 	offered, capacity := q.Load(now)
-	need = time.Duration(waitMargin*float64(max(wait, q.LongestWait()))) + likely
+	need = time.Duration(waitMargin*float64(max(wait, q.LongestWait(now)))) + likely
 	return offered <= maxLoadForLate*capacity && !now.Add(need).After(d.GiveUp)
 }
 
 // estimateWait estimates how long a call would wait for a slot: the time until the
 // calls ahead of it are served and the next running call ends.
 func (q *Queue) estimateWait(now time.Time, d Demand, service time.Duration) time.Duration {
-	ahead := time.Duration(0)
+	ahead, count := time.Duration(0), 0
 	probe := &Waiter{demand: d, arrived: now, service: service}
 	for _, w := range q.waiting {
 		if compare(now, w, probe) <= 0 {
 			ahead += w.service
+			count++
 		}
 	}
-	return q.drainTime(ahead, q.availableShare(now, d.Priority))
+	return max(q.drainTime(ahead, q.availableShare(now, d.Priority)), q.warmup.delay(now, count))
 }
 
 // availableShare returns the fraction of the slots that calls of higher priorities
@@ -241,12 +247,12 @@
 }
 
 // LongestWait estimates how long a call of the lowest priority would wait.
-func (q *Queue) LongestWait() time.Duration {
+func (q *Queue) LongestWait(now time.Time) time.Duration {
 	sum := time.Duration(0)
 	for _, w := range q.waiting {
 		sum += w.service
 	}
-	return q.drainTime(sum, 1)
+	return max(q.drainTime(sum, 1), q.warmup.delay(now, len(q.waiting)))
 }
 
 // compare orders waiting calls: by priority, then calls that can still meet their
@@ -281,7 +287,7 @@
 			return w, Refuse
 		}
 	}
-	if q.running >= q.slots || len(q.waiting) == 0 {
+	if len(q.waiting) == 0 || !q.canStart(now) {
 		return nil, Wait
 	}
 	best := 0
@@ -292,12 +298,19 @@
 	}
 	w := q.waiting[best]
 	q.waiting = slices.Delete(q.waiting, best, best+1)
-	q.start(w.service)
+	q.start(now, w.service)
 	return w, Run
 }
 
+// canStart reports whether a call may start now: a slot is free, and an upstream that
+// is cold bears another call.
+func (q *Queue) canStart(now time.Time) bool {
+	return q.running < q.slots && q.warmup.delay(now, 0) <= 0
+}
+
 // start accounts for a call that starts to run.
-func (q *Queue) start(service time.Duration) {
+func (q *Queue) start(now time.Time, service time.Duration) {
+	q.warmup.record(now)
 	q.running++
 	q.runningWork += service
 }
@@ -356,11 +369,14 @@
 }
 
 // Load returns the arrival rate of calls and the rate at which the upstream can serve
-// them, both per second.
+// them, both per second. The latter is limited while the upstream is cold.
 func (q *Queue) Load(now time.Time) (offered, capacity float64) {
 	if q.meanService > 0 {
 		capacity = float64(q.slots) / q.meanService.Seconds()
 	}
+	if q.warmup.active(now) {
+		capacity = min(capacity, float64(q.warmup.limit)/warmupWindow.Seconds())
+	}
 	return q.offered.value(now), capacity
 }
 
--- a/sched/sched_test.go
+++ b/sched/sched_test.go
@@ -114,7 +114,7 @@
 	}
 	_, v, _ := q.Arrive(now, demand("short", 1, now, 100*time.Millisecond, 250*time.Millisecond))
 	c.Assert(v, qt.Equals, sched.Wait)
-	c.Assert(q.LongestWait() < 100*time.Millisecond, qt.IsTrue, qt.Commentf("%v", q.LongestWait()))
+	c.Assert(q.LongestWait(start) < 100*time.Millisecond, qt.IsTrue, qt.Commentf("%v", q.LongestWait(start)))
 }
 
 func TestExpiredWaiterIsRefused(t *testing.T) {
@@ -272,7 +272,7 @@
 			if e := waiting[w]; v == sched.Run {
 				begin(now, e)
 			} else {
-				refuse(now, e, q.LongestWait())
+				refuse(now, e, q.LongestWait(now))
 			}
 			delete(waiting, w)
 		}
--- a/vhost/plan.go
+++ b/vhost/plan.go
@@ -25,6 +25,9 @@
 	// Warmup is how long requests for keys are slow at a new owner that has received
 	// no state from the previous owner.
 	Warmup time.Duration
+	// WarmupRate is the number of requests per second that an upstream bears while it is
+	// cold; 0 if it needs no limit.
+	WarmupRate float64
 }
 
 // Limits are the limits for callers' requests and connections.
