core: an evict order waits for the membership of its daemon

Cause: where the daemon that gets the order has just lost its own membership, since two of its witnesses were lost too, Evict answered success and the decision code dropped the order, as only a member may append the eviction.

Change: orders wait in the decision code until this member is on the stream and may append, and are dropped once the evicted member is gone. The daemon gives them to its next incarnation too, since the present one may end first.

--- a/core/drain.go
+++ b/core/drain.go
@@ -209,23 +209,43 @@
 // onEvictOrder appends an eviction. The operator vouches that the evicted
 // process has stopped, or that its upstream accepts no more requests under its
 // grants: successors act as soon as they read the record, without waiting for
-// the lease of the evicted member to expire. An order that names no member is
-// about all of them; see foundStream.
+// the lease of the evicted member to expire. An order waits until this member
+// is on the stream and may append. One that names no member is about all of
+// them; see foundStream.
 func (m *Machine) onEvictOrder(in EvictOrder) {
 	if in.Of.IsZero() {
 		m.foundStream(in)
 		return
 	}
-	if !m.table.Live(in.Of) || !m.table.Live(m.self.Inc) || !m.outbox.hasRoom() {
+	if len(m.evictions) < maxEvictOrders && !slices.Contains(m.evictions, in) {
+		m.evictions = append(m.evictions, in)
+	}
+	m.appendEvictions()
+}
+
+// maxEvictOrders bounds the evict orders that wait.
+const maxEvictOrders = 64
+
+// appendEvictions appends the evictions that were ordered and drops the orders
+// whose member has left the stream.
+func (m *Machine) appendEvictions() {
+	if !m.synced() {
 		return
 	}
-	for _, e := range m.outbox.pending {
-		if e.record.Kind == table.KindEvict && e.record.Removal.Inc == in.Of {
-			return
+	m.evictions = slices.DeleteFunc(m.evictions, func(in EvictOrder) bool { return !m.table.Live(in.Of) })
+	for _, in := range m.evictions {
+		if m.table.Live(m.self.Inc) && m.outbox.hasRoom() && !m.isEvicting(in.Of) {
+			m.write(table.Record{
+				Kind:    table.KindEvict,
+				Removal: &table.Removal{Inc: in.Of, Operator: in.Operator},
+			})
 		}
 	}
-	m.write(table.Record{
-		Kind:    table.KindEvict,
-		Removal: &table.Removal{Inc: in.Of, Operator: in.Operator},
+}
+
+// isEvicting reports whether the record that evicts a member is under way.
+func (m *Machine) isEvicting(of ident.Incarnation) bool {
+	return slices.ContainsFunc(m.outbox.pending, func(e *pendingAppend) bool {
+		return e.record.Kind == table.KindEvict && e.record.Removal.Inc == of
 	})
 }
--- a/core/machine.go
+++ b/core/machine.go
@@ -50,6 +50,8 @@
 	slots      slots
 	takeovers  takeovers
 	moves      moves
+	// evictions are the evict orders whose members are still on the stream.
+	evictions  []EvictOrder
 	assignment assignment
 	snapshots  snapshots
 
@@ -291,6 +293,7 @@
 		return
 	}
 	m.join()
+	m.appendEvictions()
 	m.nameWitnesses()
 	m.appendTakeovers()
 	m.appendFences()
--- a/core/scene_test.go
+++ b/core/scene_test.go
@@ -380,6 +380,33 @@
 	c.Assert(w.Err(), qt.IsNil)
 }
 
+// TestEvictOrderWaitsForMembership loses an owner and two of its witnesses and gives the
+// evict orders to one host only, just after its daemon has started, so that it is not on
+// the stream yet. It guards against an order that is accepted and then dropped.
+func TestEvictOrderWaitsForMembership(t *testing.T) {
+	c := qt.New(t)
+	w := newServedWorld(c, 5)
+	i := w.Owners(0)[0]
+	set := w.Reference().Witnesses(w.Host(i).Inc())
+	gone := append(set[:2:2], w.Host(i).Inc())
+	w.Host(i).Kill()
+	ordered := -1
+	for _, inc := range set[:2] {
+		ordered = indexOf(w, 5, inc)
+		w.Host(ordered).Kill()
+	}
+	for k := range 5 {
+		if w.Host(k).Machine() == nil && k != i {
+			w.Host(k).Start()
+		}
+	}
+	for _, inc := range gone {
+		w.Host(ordered).Give(core.EvictOrder{Of: inc, Operator: "op"})
+	}
+	c.Assert(runUntilServed(w, 15*time.Second), qt.IsTrue, qt.Commentf("%s", w.Trace()))
+	c.Assert(w.Err(), qt.IsNil)
+}
+
 // TestFewMembersOwnNothing runs three members: none can name three witnesses
 // on other hosts, so none can own slots, and none may halt.
 func TestFewMembersOwnNothing(t *testing.T) {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -63,8 +63,10 @@
 	life    atomic.Pointer[life]
 	logs    logState
 	holds   *holds
-	orders  *ring.Ring[core.Input]
-	moves   *ring.Ring[handover]
+	// evictions are the evict orders that were accepted.
+	evictions *evictions
+	orders    *ring.Ring[core.Input]
+	moves     *ring.Ring[handover]
 
 	transport  *peers.Quic
 	gate       *admit.Gate
@@ -120,7 +122,9 @@
 		announce: make(chan struct{}, 1),
 		left:     make(chan struct{}),
 		holds:    newHolds(),
-		reached:  make(chan struct{}),
+
+		evictions: newEvictions(),
+		reached:   make(chan struct{}),
 
 		seedSettings: make(chan [][]byte),
 	}
--- a/daemon/lives.go
+++ b/daemon/lives.go
@@ -99,6 +99,9 @@
 	if d.draining.Load() {
 		d.order(core.Drain{})
 	}
+	for _, in := range d.evictions.pending(d.view.Load()) {
+		d.order(in)
+	}
 	return l, nil
 }
 
--- a/daemon/source.go
+++ b/daemon/source.go
@@ -102,7 +102,9 @@
 	if _, ok := s.d.view.Load().Member(of); !ok {
 		return fmt.Errorf("member %s: %w", of, admin.ErrNotFound)
 	}
-	s.d.order(core.EvictOrder{Of: of, Operator: operator})
+	in := core.EvictOrder{Of: of, Operator: operator}
+	s.d.evictions.keep(in)
+	s.d.order(in)
 	return nil
 }
 
