mesh, owner, evac: serve the operator's evacuation of a zone

Change: every daemon follows the records with the configuration and passes them on as a document (package evac). A daemon of the zone starts no call without key from 0.3 s on, gives its keys away as for a leaving upstream and refuses what is left after half of the evacuation time; the others send nothing there and give the zone no keys. Taken back, an upstream gets nothing until its next heartbeat has said whether it is cold.

--- a/mesh/counts.go
+++ b/mesh/counts.go
@@ -23,7 +23,7 @@
 type metrics struct {
 	answered, failed, notRun, unknown tally.Counter
 	latency, refusal                  tally.Histogram
-	warmup                            tally.Gauge
+	warmup, evacuated, evacuatedRows  tally.Gauge
 	writes                            map[owner.Outcome]tally.Counter
 	commands                          map[holds.Outcome]tally.Counter
 }
@@ -38,8 +38,11 @@
 		latency:  scope.Histogram("mesh_answer_seconds", buckets),
 		refusal:  scope.Histogram("mesh_refusal_seconds", buckets),
 		warmup:   scope.Gauge("mesh_warmup_seconds"),
-		writes:   make(map[owner.Outcome]tally.Counter),
-		commands: make(map[holds.Outcome]tally.Counter),
+		// The ranges that a daemon of an evacuated zone still owns.
+		evacuatedRows: scope.Gauge("mesh_evacuated_rows"),
+		evacuated:     scope.Gauge("mesh_evacuated_zones"),
+		writes:        make(map[owner.Outcome]tally.Counter),
+		commands:      make(map[holds.Outcome]tally.Counter),
 	}
 	for outcome, name := range map[owner.Outcome]string{
 		owner.Written: "written", owner.Lost: "lost", owner.Refused: "refused", owner.Unknown: "unknown",
--- a/mesh/desk.go
+++ b/mesh/desk.go
@@ -60,8 +60,14 @@
 	// leftAt is when the daemon first learned that the upstream leaves.
 	leftAt        time.Time
 	lastHeartbeat time.Time
-	warmAt        time.Time
-	slots         int
+	// evacuated is set while the upstream's zone is evacuated, and until the first
+	// heartbeat after that, which tells whether the upstream has become cold;
+	// evacuationOver is set in that time. evacuatedAt is when the daemon learned of
+	// the evacuation.
+	evacuated, evacuationOver bool
+	evacuatedAt               time.Time
+	warmAt                    time.Time
+	slots                     int
 	// pendingAnswer is closed to release the heartbeat answer that is held back; nil if
 	// there is none.
 	pendingAnswer chan struct{}
@@ -93,7 +99,10 @@
 // notice came before its first heartbeat is leaving from the start; a later life under
 // the same id is not.
 func (d *upstreamState) startLife(now time.Time, hb Heartbeat) {
-	*d = upstreamState{answerHold: d.answerHold, life: hb.Life, id: hb.ID, departures: d.departures}
+	*d = upstreamState{
+		answerHold: d.answerHold, life: hb.Life, id: hb.ID, departures: d.departures,
+		evacuated: d.evacuated, evacuationOver: d.evacuationOver, evacuatedAt: d.evacuatedAt,
+	}
 	at, ok := d.departures[hb.ID]
 	if ok && now.Sub(at) <= departureTTL && hb.Life <= at.UnixMilli() {
 		d.leaving, d.departed, d.leftAt = true, true, at
@@ -132,6 +141,7 @@
 	d.leaving = hb.Leaving || d.departed
 	d.slots = hb.Slots
 	d.warmAt = now.Add(hb.WarmupLeft)
+	d.evacuated, d.evacuationOver = d.evacuated && !d.evacuationOver, false
 	return true, begun
 }
 
@@ -150,7 +160,7 @@
 func (n *Node) Heartbeat(ctx context.Context, hb Heartbeat) owner.Grant {
 	now := n.clock.Now()
 	n.mu.Lock()
-	before, ending := n.upstream.id, n.upstream.leaving
+	before, ending, wasEvacuated := n.upstream.id, n.upstream.leaving, n.upstream.evacuated
 	newest, begun := n.upstream.apply(now, hb)
 	if !newest {
 		n.mu.Unlock()
@@ -158,8 +168,10 @@
 		return owner.Grant{}
 	}
 	left := n.upstream.leftAt
+	back := wasEvacuated && !n.upstream.evacuated
 	changed := begun || n.upstream.slots != n.gateSlots() || hb.Leaving
 	if n.machine != nil {
+		n.machine.SetEvacuated(n.upstream.evacuated)
 		n.machine.Heartbeat(now, hb.Heartbeat)
 		if n.upstream.departed {
 			n.machine.UpstreamLeaving()
@@ -175,6 +187,10 @@
 	if changed {
 		n.applyUpstreamChange(hb, begun, left.Equal(now))
 	}
+	if back {
+		n.log.Info("upstream returns after an evacuation", "id", hb.ID, "cold", hb.WarmupLeft.String())
+		n.broadcastState()
+	}
 	n.requestReconcile()
 	if wait != nil {
 		limit := n.settings.answerHold()
--- a/mesh/directory.go
+++ b/mesh/directory.go
@@ -46,12 +46,12 @@
 	for _, e := range n.state.Live(n.clock.Now()) {
 		if e.Inc.Host == n.settings.Host {
 			e.Condition = n.condition()
-			if n.stopping && n.upstream.present && !n.upstream.leaving {
+			if n.stopping && n.upstream.present && !n.upstream.leaving && !n.upstream.evacuated {
 				// The upstream keeps running and this daemon still forwards calls to it.
 				e.Condition = gossip.Ready
 			}
 		}
-		if e.Service == service && e.Condition == gossip.Ready {
+		if e.Service == service && e.Condition == gossip.Ready && !n.evacuations.Has(e.Zone) {
 			targets = append(targets, n.target(e))
 		}
 	}
--- a/mesh/fleet_test.go
+++ b/mesh/fleet_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"net/url"
 	"os"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -60,6 +61,7 @@
 type host struct {
 	name     ident.Host
 	service  ident.Service
+	zone     ident.Place
 	peers    string
 	store    *store.Mem
 	node     *mesh.Node
@@ -108,11 +110,20 @@
 // interval is the heartbeat interval of a test's upstream.
 const interval = 200 * time.Millisecond
 
-// drain is the drain time of a test's upstream.
-const drain = time.Second
+// drain is the drain time of a test's upstream, evacuation the time in which a zone is
+// evacuated.
+const (
+	drain      = time.Second
+	evacuation = 3 * time.Second
+)
 
 func newHost(c *qt.C, name string, service ident.Service, mem *store.Mem) *host {
-	h := &host{name: ident.Host(name), service: service, peers: freeAddr(c), store: mem}
+	return newHostIn(c, name, "z", service, mem)
+}
+
+// newHostIn starts a host in the given zone.
+func newHostIn(c *qt.C, name string, zone ident.Place, service ident.Service, mem *store.Mem) *host {
+	h := &host{name: ident.Host(name), zone: zone, service: service, peers: freeAddr(c), store: mem}
 	h.upstream = &httptest.Server{Listener: listenLocal(c), Config: &http.Server{Handler: h}}
 	h.upstream.Start()
 	h.start(c)
@@ -128,10 +139,12 @@
 // started at life. The function beforeHeartbeats runs before the first heartbeat.
 func (h *host) startBeside(c *qt.C, life int64, beforeHeartbeats func(node *mesh.Node)) {
 	node, err := mesh.New(mesh.Settings{
-		Host: h.name, Zone: "z", Service: h.service, Upstream: h.upstream.Listener.Addr().String(), PeerAddr: h.peers,
-		Interval: interval, MaxGrant: 10 * time.Second, Drain: drain,
+		Host: h.name, Zone: h.zone, Service: h.service, Upstream: h.upstream.Listener.Addr().String(), PeerAddr: h.peers,
+		Interval: interval, MaxGrant: 10 * time.Second, Drain: drain, Evacuation: evacuation,
 		RetryRatio: 0.2, RetrySlack: 50, RetryWindow: 10 * time.Second,
-	}, mesh.Ports{Store: h.store, Dialect: dialect{}, Config: mesh.ConfigSource{Topic: "op", Key: "config", Decode: decodePlan}})
+	}, mesh.Ports{Store: h.store, Dialect: dialect{}, Config: mesh.ConfigSource{
+		Topic: "op", Key: "config", EvacuationPrefix: "evacuate/", Decode: decodePlan,
+	}})
 	c.Assert(err, qt.IsNil)
 	ctx, cancel := context.WithCancel(context.Background())
 	h.mu.Lock()
@@ -200,20 +213,27 @@
 	for i := range media {
 		hosts = append(hosts, newHost(c, fmt.Sprintf("m%02d", i), plain, mem))
 	}
+	awaitServed(c, hosts)
+	return mem, hosts
+}
+
+// awaitServed waits until every host can reach the owners of keys from all ranges and, if
+// there are any, the upstreams of the service without keys.
+func awaitServed(c *qt.C, hosts []*host) {
+	plainHosts := slices.ContainsFunc(hosts, func(h *host) bool { return h.service == plain })
 	for _, h := range hosts {
 		// Hosts learn of the first owners at different times.
 		for _, key := range []uint32{0, 20000, 40000, 65535} {
 			eventually(c, func() bool { return call(h.node, key) == nil })
 		}
 		eventually(c, func() bool {
-			if media == 0 {
+			if !plainHosts {
 				return true
 			}
 			_, err := h.node.Run(context.Background(), newCall(plain, 0))
 			return err == nil
 		})
 	}
-	return mem, hosts
 }
 
 func eventually(c *qt.C, f func() bool) {
--- a/mesh/gossip.go
+++ b/mesh/gossip.go
@@ -46,7 +46,7 @@
 		return gossip.Stopping
 	case !n.upstream.present:
 		return gossip.Absent
-	case n.upstream.leaving:
+	case n.upstream.leaving, n.upstream.evacuated:
 		return gossip.Draining
 	}
 	return gossip.Ready
@@ -213,7 +213,8 @@
 		n.mu.Unlock()
 		return
 	}
-	fetch := v.Name == configDocument && v.Number > n.plans.Plan().Version()
+	fetch := v.Name == configDocument && v.Number > n.plans.Plan().Version() ||
+		v.Name == evacuationDocument && v.Number > n.evacuations.Version()
 	for service, t := range n.tables {
 		if topicOf(service) != v.Name || v.Number <= max(t.announced, t.current.Version()) {
 			continue
@@ -289,6 +290,7 @@
 		return
 	}
 	n.updateSelf()
+	n.reportEvacuation()
 	a := n.machine.Tick(now, n.state.Live(now))
 	to := make([]string, len(a.Messages))
 	for i, m := range a.Messages {
--- a/mesh/local.go
+++ b/mesh/local.go
@@ -151,15 +151,19 @@
 		return 0, "", "", refusal
 	}
 	d := &n.upstream
-	if d.leaving && now.Sub(d.leftAt) > n.settings.Drain-drainMargin {
+	grace := n.settings.Drain - drainMargin
+	if !call.Ordered {
+		grace = min(leavingGrace, grace)
+	}
+	if d.leaving && now.Sub(d.leftAt) > grace {
+		return 0, "", "", calls.NewNotRun(calls.ReasonDraining)
+	}
+	if d.evacuated && now.Sub(d.evacuatedAt) > n.evacuationGrace(call.Ordered) {
 		return 0, "", "", calls.NewNotRun(calls.ReasonDraining)
 	}
 	if !call.Ordered {
-		switch {
-		case !d.present:
+		if !d.present {
 			return 0, "", "", calls.NewNotRun(calls.ReasonUpstreamDown)
-		case d.leaving && now.Sub(d.leftAt) > leavingGrace:
-			return 0, "", "", calls.NewNotRun(calls.ReasonDraining)
 		}
 		return owner.KeyHeld, "", d.id, nil
 	}
@@ -203,6 +207,9 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if name == evacuationDocument {
+		return n.encodedEvacuations()
+	}
 	for service, t := range n.tables {
 		if topicOf(service) == name && t.encoded.version > 0 {
 			return t.encoded.data, t.encoded.version, true
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -14,6 +14,7 @@
 
 	"github.com/monsoonmoor/monsoonmoor/calls"
 	"github.com/monsoonmoor/monsoonmoor/cpulag"
+	"github.com/monsoonmoor/monsoonmoor/evac"
 	"github.com/monsoonmoor/monsoonmoor/gossip"
 	"github.com/monsoonmoor/monsoonmoor/ident"
 	"github.com/monsoonmoor/monsoonmoor/lease"
@@ -69,14 +70,16 @@
 
 	// mu guards the daemon's view of the fleet, the leases, the ownership tables and
 	// the upstream.
-	mu       sync.Mutex
-	state    *gossip.State
-	witness  *lease.Witness
-	machine  *owner.Machine
-	tables   map[ident.Service]*table
-	upstream upstreamState
-	changed  chan struct{}
-	stopping bool
+	mu      sync.Mutex
+	state   *gossip.State
+	witness *lease.Witness
+	machine *owner.Machine
+	// evacuations are the zones that the operator has evacuated.
+	evacuations *evac.State
+	tables      map[ident.Service]*table
+	upstream    upstreamState
+	changed     chan struct{}
+	stopping    bool
 	// callLimits bounds the calls of a daemon that is about to end; nil until then.
 	callLimits atomic.Pointer[callLimits]
 	// applied are the newest settings; the field settings keeps those of the start.
@@ -138,6 +141,7 @@
 		Inc: n.self, Addr: s.PeerAddr, Zone: s.Zone, Service: s.Service,
 	}, gossip.DefaultTimings(), n.self.Boot)
 	n.seed(now, s.Seeds)
+	n.evacuations = evac.New()
 	n.witness = lease.NewWitness(n.self, s.leaseTerms(), now)
 	n.gate = sched.NewGate(n.clock)
 	n.pool = upconn.New(s.Upstream, n.ports.Dialect, upconn.WithClock(n.clock), upconn.WithLogger(n.log),
--- a/mesh/ports.go
+++ b/mesh/ports.go
@@ -14,9 +14,13 @@
 )
 
 // ConfigSource says where the operators' configuration is stored and how it is decoded.
+// Their evacuations of zones are in the same topic.
 type ConfigSource struct {
 	// Topic and Key locate the newest configuration in the store.
 	Topic, Key string
+	// EvacuationPrefix and the name of an availability zone are the key of the record
+	// that evacuates the zone for as long as it exists; empty if there are none.
+	EvacuationPrefix string
 	// Decode parses a configuration. The error names the invalid field.
 	Decode func(data []byte) (*vhost.RoutingConfig, error)
 }
--- a/mesh/settings.go
+++ b/mesh/settings.go
@@ -36,6 +36,9 @@
 	// WarmupOverage is the factor by which the calls that a cold upstream gets may exceed
 	// its warm-up rate; values below 1 stand for 1.
 	WarmupOverage float64
+	// Evacuation is how long after an evacuation of the zone calls may still be sent to
+	// the upstream.
+	Evacuation time.Duration
 	// RetryRatio and RetrySlack limit the retried calls that reach upstreams, for the
 	// whole fleet within RetryWindow.
 	RetryRatio  float64
--- a/mesh/source.go
+++ b/mesh/source.go
@@ -36,12 +36,22 @@
 
 // followConfig starts to follow the operators' configuration in the store.
 func (n *Node) followConfig() {
-	f := store.Follow(n.ports.Store, n.ports.Config.Topic, func(item store.Item) {
+	f := store.Follow(n.ports.Store, n.ports.Config.Topic, n.operatorRecords("store"),
+		store.WithSnapshotCallback(n.readEvacuations), store.WithClock(n.clock), store.WithLogger(n.log),
+		store.WithPollInterval(configPollTimeout, configMinInterval))
+	n.followers = append(n.followers, f)
+}
+
+// operatorRecords returns the function that receives the operators' records from a
+// follower; source names the follower in the log.
+func (n *Node) operatorRecords(source string) func(store.Item) {
+	return func(item store.Item) {
 		if item.Key == n.ports.Config.Key {
-			n.readConfig(item.Value, "store")
+			n.readConfig(item.Value, source)
+			return
 		}
-	}, store.WithClock(n.clock), store.WithLogger(n.log), store.WithPollInterval(configPollTimeout, configMinInterval))
-	n.followers = append(n.followers, f)
+		n.readEvacuation(item)
+	}
 }
 
 // watchConfig polls the configuration with short reads while this daemon is a watcher.
@@ -53,12 +63,9 @@
 	case <-n.ctx.Done():
 		return
 	}
-	f := store.Follow(n.ports.Store, n.ports.Config.Topic, func(item store.Item) {
-		if item.Key == n.ports.Config.Key {
-			n.readConfig(item.Value, "watch")
-		}
-	}, store.WithClock(n.clock), store.WithLogger(n.log.WithName("watch")), store.WithPollInterval(watchPollTimeout, configMinInterval),
-		store.WithEnabled(n.isWatcher))
+	f := store.Follow(n.ports.Store, n.ports.Config.Topic, n.operatorRecords("watch"),
+		store.WithSnapshotCallback(n.readEvacuations), store.WithClock(n.clock), store.WithLogger(n.log.WithName("watch")),
+		store.WithPollInterval(watchPollTimeout, configMinInterval), store.WithEnabled(n.isWatcher))
 	<-n.ctx.Done()
 	if err := f.Close(); err != nil {
 		n.log.Info("configuration follower not closed", "err", err.Error())
--- a/mesh/tables.go
+++ b/mesh/tables.go
@@ -93,11 +93,12 @@
 			opts = append(opts, owner.WithCalls())
 		}
 		n.machine = owner.New(n.self, service, n.clock.Now(), opts...)
+		n.machine.SetEvacuated(n.upstream.evacuated)
 		n.replayHeartbeat()
 	}
 	t.follower = store.Follow(n.ports.Store, topicOf(service),
 		func(item store.Item) { n.receiveStored(service, item) },
-		store.WithSnapshotCallback(func(end uint64) { n.handleSnapshotEnd(service, end) }),
+		store.WithSnapshotCallback(func(s store.Snapshot) { n.handleSnapshotEnd(service, s.End) }),
 		store.WithClock(n.clock), store.WithLogger(n.log), store.WithPollInterval(tablePollTimeout, tableMinInterval),
 		store.WithSyncCallback(func(ok bool) { n.handleTableSynced(service, ok) }),
 		store.WithEnabled(func() bool { return n.isTableReader(service) }))
@@ -178,6 +179,9 @@
 	if raw := n.configRaw.Load(); raw != nil {
 		out = append(out, gossip.Version{Name: configDocument, Number: raw.version})
 	}
+	if version := n.evacuations.Version(); version > 0 {
+		out = append(out, gossip.Version{Name: evacuationDocument, Number: version})
+	}
 	for service, t := range n.tables {
 		if t.encoded.version > 0 {
 			out = append(out, gossip.Version{Name: topicOf(service), Number: t.encoded.version})
@@ -413,6 +417,10 @@
 		n.readConfig(data, "peer")
 		return
 	}
+	if name == evacuationDocument {
+		n.mergeEvacuations(data)
+		return
+	}
 	n.mu.Lock()
 	var service ident.Service
 	for s := range n.tables {
--- a/owner/machine.go
+++ b/owner/machine.go
@@ -44,6 +44,9 @@
 	// is the row's token plus this offset.
 	fenceOffset atlas.Fence
 	releases    []*release
+	// evacuated is set while the member's zone is evacuated, so that it gives away
+	// all its keys and gets none.
+	evacuated bool
 	// stopping is set once the daemon is shutting down and gives away all its
 	// keys.
 	stopping bool
@@ -331,6 +334,13 @@
 // down.
 func (m *Machine) Stop(time.Time) { m.stopping = true }
 
+// SetEvacuated sets whether the member's zone is evacuated. While it is, the member
+// gives away all its keys and then leaves the table, though its upstream lives on.
+func (m *Machine) SetEvacuated(evacuated bool) { m.evacuated = evacuated }
+
+// isEnding reports whether the member gives away all its keys.
+func (m *Machine) isEnding() bool { return m.stopping || m.evacuated || m.upstream.leaving }
+
 // Left reports whether the ownership table was read and names no member on this
 // host.
 func (m *Machine) Left() bool {
--- a/owner/moves.go
+++ b/owner/moves.go
@@ -30,7 +30,7 @@
 	if !m.IsMember() || !m.upstream.present || !now.Before(m.leaseEnd()) {
 		return false
 	}
-	if m.stopping || m.upstream.leaving {
+	if m.isEnding() {
 		return m.releaseAll(now)
 	}
 	m.dropStuckReleases(now)
--- a/owner/propose.go
+++ b/owner/propose.go
@@ -156,9 +156,9 @@
 }
 
 // canOwnKeys reports whether this daemon can own keys: its upstream is present
-// and neither of them is ending.
+// and neither of them is ending or evacuated.
 func (m *Machine) canOwnKeys() bool {
-	return m.upstream.present && !m.upstream.leaving && !m.stopping
+	return m.upstream.present && !m.isEnding()
 }
 
 // proposeResume decides whether the upstream keeps the fencing tokens of the
--- a/owner/walk_test.go
+++ b/owner/walk_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/monsoonmoor/monsoonmoor/ident"
 )
 
 // simulate runs a fleet for 4 s, then with random faults for the given time,
@@ -25,6 +27,9 @@
 		}
 		w.advance()
 	}
+	if w.rules.evacuations {
+		w.setEvacuated(seed%2 == 0)
+	}
 	for end := w.now.Add(12 * time.Second); w.now.Before(end) && len(w.violations) == 0; {
 		w.advance()
 	}
@@ -73,6 +78,36 @@
 	}
 }
 
+// TestEvacuations simulates evacuations of a third of the daemons beside the other faults.
+// It guards against an evacuated upstream that still holds keys after recovery, keys that
+// have no holder then, and the faults of TestOneHolder.
+func TestEvacuations(t *testing.T) {
+	for name, r := range map[string]rules{"by heartbeat": {evacuations: true}, "by call": {evacuations: true, byCalls: true}} {
+		t.Run(name, func(t *testing.T) {
+			for _, seed := range seedsUpTo(seedCount(40)) {
+				size := 4 + int(seed%5)
+				w := simulate(seed, size, r, 20*time.Second)
+				if holders := w.evacuatedHolders(); len(w.violations) > 0 || w.held() < len(probes) || len(holders) > 0 {
+					t.Errorf("seed %d, %d daemons: %d of %d keys held, evacuated holders %v; %s\n%s", seed, size, w.held(),
+						len(probes), holders, strings.Join(w.violations, "; "), tail(w.log, 40))
+					return
+				}
+			}
+		})
+	}
+}
+
+// evacuatedHolders returns the hosts of the evacuated zone whose upstreams hold keys.
+func (w *simulation) evacuatedHolders() []ident.Host {
+	var hosts []ident.Host
+	for _, d := range w.daemons {
+		if w.isEvacuated(d) && d.upstream.up && len(d.upstream.holds) > 0 {
+			hosts = append(hosts, d.host)
+		}
+	}
+	return hosts
+}
+
 // TestWalksRepeat runs the same seed twice and compares the logs, so that a
 // failure can be reproduced from its seed.
 func TestWalksRepeat(t *testing.T) {
--- a/owner/world_test.go
+++ b/owner/world_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/monsoonmoor/monsoonmoor/atlas"
@@ -45,6 +46,9 @@
 	lateHolds bool
 	// byCalls is no broken rule: keys are granted by calls to the upstreams.
 	byCalls bool
+	// evacuations is no broken rule: a zone with every third daemon is evacuated and
+	// taken back at random.
+	evacuations bool
 }
 
 // held is a range that an upstream holds.
@@ -110,6 +114,8 @@
 	newest         *atlas.Table
 	storeDownUntil time.Time
 	calls          []*keyCall
+	// evacuated is set while the zone with every third daemon is evacuated.
+	evacuated bool
 	// lossless disables the random loss of datagrams.
 	lossless bool
 	// races counts the writes that lost to another one.
@@ -147,6 +153,7 @@
 		opts = append(opts, owner.WithCalls())
 	}
 	d.machine = owner.New(self, service, w.now, opts...)
+	d.machine.SetEvacuated(w.isEvacuated(d))
 	witnessTerms := terms
 	if w.rules.earlyVotes {
 		witnessTerms.Length = 0
@@ -156,6 +163,20 @@
 	d.nextRead = w.now.Add(w.delay(100))
 }
 
+// setEvacuated evacuates the zone with every third daemon, or takes it back.
+func (w *simulation) setEvacuated(evacuated bool) {
+	w.evacuated = evacuated
+	for _, d := range w.daemons {
+		d.machine.SetEvacuated(w.isEvacuated(d))
+	}
+}
+
+// isEvacuated reports whether the zone of a daemon is evacuated.
+func (w *simulation) isEvacuated(d *daemon) bool {
+	i := slices.Index(w.daemons, d)
+	return w.evacuated && i%3 == 0
+}
+
 // stop makes a daemon give away its keys; the gossip of others then shows it as
 // stopping.
 func (w *simulation) stop(d *daemon) {
@@ -202,7 +223,7 @@
 		e := gossip.Entry{Inc: ident.NewIncarnation(o.host, o.boot), Service: service, Slots: 10, Condition: gossip.Absent}
 		if _, present, leaving := o.machine.Upstream(); present {
 			e.Condition = gossip.Ready
-			if leaving {
+			if leaving || w.isEvacuated(o) {
 				e.Condition = gossip.Draining
 			}
 			if o.stopping {
@@ -374,6 +395,10 @@
 func (w *simulation) injectFault() {
 	d := w.daemons[w.rng.IntN(len(w.daemons))]
 	long := w.now.Add(w.delay(3000))
+	if w.rules.evacuations && w.rng.IntN(3) == 0 {
+		w.setEvacuated(!w.evacuated)
+		return
+	}
 	switch w.rng.IntN(10) {
 	case 0:
 		d.up, d.restartAt = false, long
--- a/owner/writer.go
+++ b/owner/writer.go
@@ -98,9 +98,9 @@
 }
 
 // wantsToLeave reports whether this member should be removed from the table,
-// because the daemon or its upstream is ending or has ended.
+// because the daemon or its upstream is ending or has ended, or its zone is evacuated.
 func (m *Machine) wantsToLeave(now time.Time) bool {
-	if !m.stopping && !m.upstream.leaving && !m.holdsNothing(now) {
+	if !m.isEnding() && !m.holdsNothing(now) {
 		m.leavingSince = time.Time{}
 		return false
 	}
--- a/store/follower.go
+++ b/store/follower.go
@@ -43,8 +43,8 @@
 	gap    time.Duration
 	synced func(bool)
 	wanted func() bool
-	// snapshotRead is called with the end of each snapshot after its items.
-	snapshotRead func(end uint64)
+	// snapshotRead is called with each snapshot after its items were delivered.
+	snapshotRead func(Snapshot)
 
 	cancel context.CancelFunc
 	done   chan struct{}
@@ -87,8 +87,8 @@
 func WithEnabled(wanted func() bool) FollowerOption { return func(f *Follower) { f.wanted = wanted } }
 
 // WithSnapshotCallback sets a function that is called after the items of a snapshot were
-// delivered, with the offset of the record that follows the snapshot.
-func WithSnapshotCallback(read func(end uint64)) FollowerOption {
+// delivered. A key that is missing in it was deleted.
+func WithSnapshotCallback(read func(Snapshot)) FollowerOption {
 	return func(f *Follower) { f.snapshotRead = read }
 }
 
@@ -100,7 +100,7 @@
 		port: port, topic: topic, apply: apply,
 		clock: clockwork.NewRealClock(), log: logr.Discard(),
 		wait: defaultWait, gap: defaultGap,
-		synced: func(bool) {}, wanted: func() bool { return true }, snapshotRead: func(uint64) {},
+		synced: func(bool) {}, wanted: func() bool { return true }, snapshotRead: func(Snapshot) {},
 		cancel: cancel, done: make(chan struct{}), wake: make(chan struct{}, 1),
 	}
 	f.cancelRead = func() {}
@@ -222,7 +222,7 @@
 	}
 	f.deliver(s.Items)
 	f.end, f.hasSnapshot = s.End, true
-	f.snapshotRead(s.End)
+	f.snapshotRead(s)
 	return nil
 }
 
