steer: keep calls of a route within its regions

Change: a call without key goes to upstreams in the regions only; a call whose key is owned elsewhere, or for which there is no upstream, is refused at once as not run (no-region). Routes without regions are served as before.

Evidence: TestRegionsOfARoute fails without the filter. Open: ownership does not follow the regions (docs/design/regions.md).

--- a/calls/reason.go
+++ b/calls/reason.go
@@ -12,6 +12,7 @@
 	ReasonNoService    Reason = "no-service"
 	ReasonStarting     Reason = "starting"
 	ReasonNoOwner      Reason = "no-owner"
+	ReasonNoRegion     Reason = "no-region"
 	ReasonNotOwner     Reason = "not-owner"
 	ReasonMoving       Reason = "moving"
 	ReasonFenced       Reason = "fenced"
--- a/calls/terms.go
+++ b/calls/terms.go
@@ -1,6 +1,11 @@
 package calls
 
-import "time"
+import (
+	"slices"
+	"time"
+
+	"github.com/monsoonmoor/monsoonmoor/ident"
+)
 
 // RoutePolicy is a route's policy for its calls.
 type RoutePolicy struct {
@@ -18,7 +23,14 @@
 	Target time.Duration
 	// Timeout is the time within which a call must be answered.
 	Timeout time.Duration
+	// Regions are the regions whose upstreams may run the call; all of them if empty.
+	Regions []ident.Region
 	// Spent is the estimated time that earlier attempts by the same caller have
 	// taken.
 	Spent time.Duration
 }
+
+// Allows reports whether upstreams of a region may run the call.
+func (p *RoutePolicy) Allows(region ident.Region) bool {
+	return len(p.Regions) == 0 || slices.Contains(p.Regions, region)
+}
--- a/mesh/directory.go
+++ b/mesh/directory.go
@@ -63,7 +63,7 @@
 func (n *Node) target(e gossip.Entry) steer.Target {
 	t := steer.Target{
 		Host: e.Inc.Host, Addr: e.Addr,
-		Local: e.Inc.Host == n.settings.Host, Near: e.Zone == n.settings.Zone,
+		Local: e.Inc.Host == n.settings.Host, Near: e.Zone == n.settings.Zone, Region: n.settings.Regions[e.Zone],
 		Capacity: float64(e.Load.Capacity), Slots: int(e.Slots),
 	}
 	if t.Local {
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -167,7 +167,7 @@
 		return err
 	}
 	n.router = steer.New(n, &localExecutor{node: n}, n.web, steer.WithClock(n.clock), steer.WithLogger(n.log),
-		steer.WithScope(n.scope), steer.WithBudget(n.budget))
+		steer.WithScope(n.scope), steer.WithBudget(n.budget), steer.WithRegion(n.settings.Regions[n.settings.Zone]))
 	// Messages may arrive before Listen has returned, and their answers need the socket.
 	ready := make(chan struct{})
 	defer close(ready)
--- a/mesh/settings.go
+++ b/mesh/settings.go
@@ -17,6 +17,8 @@
 	Host    ident.Host
 	Zone    ident.Place
 	Service ident.Service
+	// Regions maps each zone to its region; it may be empty.
+	Regions map[ident.Place]ident.Region
 	// Upstream is the address of the upstream beside the daemon.
 	Upstream string
 	// PeerAddr is the address on which other daemons reach this one, for both streams and
--- a/peers/header.go
+++ b/peers/header.go
@@ -76,7 +76,8 @@
 	Answered bool `cbor:"17,keyasint,omitempty"`
 }
 
-// termsHeader is the encoded form of a calls.RoutePolicy; times are in microseconds.
+// termsHeader is the encoded form of a calls.RoutePolicy; times are in microseconds. The
+// regions of the route bind only the daemon that chooses the upstream and are not sent.
 type termsHeader struct {
 	_          struct{} `cbor:",toarray"`
 	Route      string
@@ -89,13 +90,14 @@
 }
 
 func newTermsHeader(t calls.RoutePolicy) *termsHeader {
-	if t == (calls.RoutePolicy{}) {
-		return nil
-	}
-	return &termsHeader{
+	h := termsHeader{
 		Route: t.Route, Repeatable: t.Repeatable, Attempts: t.Attempts, Priority: t.Priority,
 		Target: t.Target.Microseconds(), Timeout: t.Timeout.Microseconds(), Spent: t.Spent.Microseconds(),
 	}
+	if h == (termsHeader{}) {
+		return nil
+	}
+	return &h
 }
 
 func (h *termsHeader) terms() calls.RoutePolicy {
--- a/steer/journey.go
+++ b/steer/journey.go
@@ -48,19 +48,34 @@
 }
 
 // nextTarget returns the daemon to which the next attempt goes, or the error with which
-// the call ends.
+// the call ends. A key whose owner is outside the regions of the route is not served.
 func (c *routedCall) nextTarget(ctx context.Context) (Target, *calls.Error) {
-	if c.call.Ordered {
-		return c.nextOwner(ctx)
+	if !c.call.Ordered {
+		return c.nextOfAny()
 	}
+	target, failure := c.nextOwner(ctx)
+	if failure == nil && !c.call.Terms.Allows(target.Region) {
+		return Target{}, calls.NewNotRun(calls.ReasonNoRegion, calls.WithRetryAfter(noOwnerRetryAfter))
+	}
+	return target, failure
+}
+
+// nextOfAny returns the next target of a call that any upstream of the service in the
+// regions of the route can run.
+func (c *routedCall) nextOfAny() (Target, *calls.Error) {
 	targets := c.router.directory.Targets(c.call.Service)
+	reason := calls.ReasonNoOwner
+	if len(c.call.Terms.Regions) > 0 {
+		targets = slices.DeleteFunc(slices.Clone(targets), func(t Target) bool { return !c.call.Terms.Allows(t.Region) })
+		reason = calls.ReasonNoRegion
+	}
 	if target, ok := c.router.pickTarget(targets, c.tried, c.call); ok {
 		return target, nil
 	}
 	if c.lastErr != nil {
 		return Target{}, c.lastErr
 	}
-	return Target{}, calls.NewNotRun(calls.ReasonNoOwner, calls.WithRetryAfter(noOwnerRetryAfter))
+	return Target{}, calls.NewNotRun(reason, calls.WithRetryAfter(noOwnerRetryAfter))
 }
 
 // nextOwner returns the owner of the call's key. While the key has no owner, or its
@@ -78,7 +93,7 @@
 		switch status {
 		case owner.KeyHeld, owner.KeyPending, owner.KeyReleasing:
 			if !c.hasTried("") {
-				return Target{Local: true}, nil
+				return Target{Local: true, Region: r.region}, nil
 			}
 		case owner.KeyRemote:
 			if target, ok := r.directory.Target(host); ok && !c.hasTried(host) {
--- a/steer/ports.go
+++ b/steer/ports.go
@@ -15,6 +15,8 @@
 	Addr string
 	// Local is set for this daemon itself, Near for a daemon in the same zone.
 	Local, Near bool
+	// Region is that of the daemon's zone; empty if it is unknown.
+	Region ident.Region
 	// Wait is the expected wait of a call there.
 	Wait time.Duration
 	// Capacity is the rate at which the upstream can serve calls, per second.
--- a/steer/router.go
+++ b/steer/router.go
@@ -53,6 +53,8 @@
 	log       logr.Logger
 	budget    *Budget
 	counts    counters
+	// region is that of this daemon.
+	region ident.Region
 
 	mu  sync.Mutex
 	rng *rand.Rand
@@ -85,6 +87,9 @@
 	return func(r *Router) { r.rng = rand.New(rand.NewPCG(seed, seed)) }
 }
 
+// WithRegion sets the region of this daemon.
+func WithRegion(region ident.Region) Option { return func(r *Router) { r.region = region } }
+
 // New returns a router. Calls for the upstream of this daemon run at local, others are
 // sent through remote.
 func New(directory Directory, local calls.Executor, remote Forwarder, opts ...Option) *Router {
--- a/steer/steer_test.go
+++ b/steer/steer_test.go
@@ -248,3 +248,41 @@
 	c.Assert(err, qt.IsNil)
 	c.Check(s.sentTo, qt.DeepEquals, []string{"a", "b"})
 }
+
+// A route that names regions is served there only. Where they hold no upstream of the service,
+// or the owner of the key is elsewhere, the call is refused at once as not run.
+func TestRegionsOfARoute(t *testing.T) {
+	targets := []steer.Target{
+		{Host: "a", Addr: "a", Region: "north", Capacity: 10}, {Host: "b", Addr: "b", Region: "south", Capacity: 1000},
+	}
+	for _, test := range []struct {
+		name    string
+		regions []ident.Region
+		ordered bool
+		place   owner.KeyStatus
+		owner   ident.Host
+		sent    []string
+	}{
+		{name: "any upstream", regions: []ident.Region{"north"}, sent: []string{"a"}},
+		{name: "one of two", regions: []ident.Region{"west", "north"}, sent: []string{"a"}},
+		{name: "no upstream there", regions: []ident.Region{"west"}},
+		{name: "owner there", regions: []ident.Region{"north"}, ordered: true, place: owner.KeyRemote, owner: "a", sent: []string{"a"}},
+		{name: "owner elsewhere", regions: []ident.Region{"north"}, ordered: true, place: owner.KeyRemote, owner: "b"},
+		{name: "own key", regions: []ident.Region{"south"}, ordered: true, place: owner.KeyHeld, sent: []string{""}},
+		{name: "own key elsewhere", regions: []ident.Region{"north"}, ordered: true, place: owner.KeyHeld},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			for seed := range uint64(20) {
+				f := &fakeFleet{targets: targets, place: test.place, owner: test.owner}
+				r := steer.New(f, f, f, steer.WithSeed(seed), steer.WithRegion("south"))
+				_, err := r.Run(context.Background(), newCall(calls.RoutePolicy{Attempts: 2, Target: time.Second, Regions: test.regions}, test.ordered))
+				c.Assert(f.sentTo, qt.DeepEquals, test.sent)
+				if test.sent == nil {
+					c.Assert(calls.AsError(err).Reason(), qt.Equals, calls.ReasonNoRegion)
+					c.Assert(calls.AsError(err).Outcome(), qt.Equals, calls.NotRun)
+				}
+			}
+		})
+	}
+}
