--- a/core/scene_test.go
+++ b/core/scene_test.go
@@ -388,7 +388,7 @@
 	w := newServedWorld(c, 5)
 	i := w.Owners(0)[0]
 	set := w.Reference().Witnesses(w.Host(i).Inc())
-	gone := append(set[:2:2], w.Host(i).Inc())
+	gone := slices.Concat(set[:2], []ident.Incarnation{w.Host(i).Inc()})
 	w.Host(i).Kill()
 	ordered := -1
 	for _, inc := range set[:2] {
