upconn: an answer without length that is reset is cut off, also when the upload gets the error

Cause: a reset is reported once for each socket. While a long upload is still being written its writer may get it, and the reader of the answer then gets the ordinary end of the input, which ends an answer that has no length.

Change: an answer without length is whole only if its request was sent whole. A status below 100 is an invalid answer instead of an interim one.

--- a/upconn/exchange.go
+++ b/upconn/exchange.go
@@ -112,6 +112,9 @@
 		if err != nil {
 			return nil, x.lostError(ctx, err)
 		}
+		if response.StatusCode < http.StatusContinue {
+			return nil, x.invalidAnswer(response)
+		}
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
@@ -122,9 +125,7 @@
 				return nil, x.lostError(ctx, errStale)
 			}
 		case Invalid:
-			x.pool.counts.garbage.Inc(1)
-			x.pool.log.Info("upstream sent an invalid answer", "request", x.call.ID, "status", response.StatusCode)
-			return nil, calls.NewUnknown(calls.ReasonUpstreamLost, calls.WithCause(errInvalidAnswer))
+			return nil, x.invalidAnswer(response)
 		case Matched:
 			return x.readAnswer(ctx, response, sent)
 		case NotRun, Misdirected, KeyNotHeld:
@@ -136,6 +137,13 @@
 	return nil, x.lostError(ctx, errStale)
 }
 
+// invalidAnswer returns the outcome Unknown for a call that got an invalid answer.
+func (x *exchange) invalidAnswer(response *http.Response) *calls.Error {
+	x.pool.counts.garbage.Inc(1)
+	x.pool.log.Info("upstream sent an invalid answer", "request", x.call.ID, "status", response.StatusCode)
+	return calls.NewUnknown(calls.ReasonUpstreamLost, calls.WithCause(errInvalidAnswer))
+}
+
 // recordRefusal keeps a refusal that the upstream sends once more from being taken for that of
 // a later call: the call it names is not sent on this connection again, and after one that
 // names no call the connection is not reused.
@@ -197,6 +205,9 @@
 	ctx context.Context, response *http.Response, sent chan error) (*calls.Reply, *calls.Error) {
 
 	reply := &calls.Reply{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength}
+	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+		response.Body = &unframedBody{ReadCloser: response.Body, sent: sent}
+	}
 	if response.ContentLength > maxBufferedAnswer {
 		x.streaming = true
 		reply.Body = &streamingBody{body: response.Body, conn: x.conn}
@@ -252,6 +263,31 @@
 	return err == nil && n <= maxDiscarded
 }
 
+// unframedBody is the body of an answer that ends with its connection. A reset of the
+// connection is reported once: if the request is still being written then, its writer may
+// get the error, and the reader only the end of the input. So the answer is whole only if
+// the request was sent whole.
+type unframedBody struct {
+	io.ReadCloser
+	// sent holds the result of sending the request once that has ended.
+	sent chan error
+}
+
+// Read implements io.Reader. At the end of the input it waits until the request was sent,
+// which the end of the call's context bounds.
+func (u *unframedBody) Read(p []byte) (int, error) {
+	n, err := u.ReadCloser.Read(p)
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	sendErr := <-u.sent
+	u.sent <- sendErr
+	if sendErr != nil {
+		return n, fmt.Errorf("answer without length cut off: %w", sendErr)
+	}
+	return n, err
+}
+
 // streamingBody is the body of an answer that is longer than maxBufferedAnswer. Close
 // closes the connection, which is not reused.
 type streamingBody struct {
