sched: an urgent call takes the place of the last one in a full queue

Cause: a full queue refused the newcomer, however urgent.

Change: in a full queue a newcomer that would be served before the last one takes its place; that one is told at once that it has not run.

--- a/sched/gate.go
+++ b/sched/gate.go
@@ -78,6 +78,8 @@
 	w, verdict, after := g.queue.Arrive(g.clock.Now(), d)
 	estimated := g.queue.ServiceTime(d.Class)
 	if verdict == Wait {
+		// The call may have displaced another one, which is told at once.
+		g.dispatch()
 		g.scheduleSweep()
 	}
 	g.mu.Unlock()
--- a/sched/queue.go
+++ b/sched/queue.go
@@ -89,6 +89,8 @@
 	arrived  time.Time
 	service  time.Duration // the service time estimated at arrival
 	canceled bool
+	// displaced is set when a more urgent call has taken the place of this one.
+	displaced bool
 	// verdict receives Run or Refuse. Only the Gate uses it.
 	verdict chan Verdict
 }
@@ -174,14 +176,36 @@
 		return nil, Run, 0
 	}
 	wait := q.estimateWait(now, d, service)
-	if !q.shouldWait(now, d, wait, service) || len(q.waiting) >= maxWaitingPerSlot*max(1, q.slots) {
+	w = &Waiter{demand: d, arrived: now, service: service, verdict: make(chan Verdict, 1)}
+	if !q.shouldWait(now, d, wait, service) || !q.makeRoom(now, w) {
 		return nil, Refuse, q.retryAfter(wait)
 	}
-	w = &Waiter{demand: d, arrived: now, service: service, verdict: make(chan Verdict, 1)}
 	q.waiting = append(q.waiting, w)
 	return w, Wait, 0
 }
 
+// makeRoom reports whether the queue has a place for a call. In a full queue a call takes
+// the place of the one that would be served last, if it would be served before that one.
+func (q *Queue) makeRoom(now time.Time, w *Waiter) bool {
+	places := maxWaitingPerSlot * max(1, q.slots)
+	var last *Waiter
+	for _, o := range q.waiting {
+		if o.canceled || o.displaced {
+			places++
+		} else if last == nil || compare(now, o, last) > 0 {
+			last = o
+		}
+	}
+	if len(q.waiting) < places {
+		return true
+	}
+	if last == nil || compare(now, w, last) >= 0 {
+		return false
+	}
+	last.displaced = true
+	return true
+}
+
 // shouldWait reports whether a call with the given estimated wait should be queued. A
 // call that is expected to meet its target is queued. The estimates include safety
 // margins, since more urgent calls may still arrive. A call that will miss its target
@@ -275,11 +299,11 @@
 
 // Next removes the next call that is to be decided about from the queue. The verdict is
 // Run for a call that gets a free slot now, and Refuse for one that can no longer be
-// served before its caller gives up. Next returns nil and Wait when all remaining calls
+// served before its caller gives up or whose place a more urgent call has taken. Next returns nil and Wait when all remaining calls
 // have to wait.
 func (q *Queue) Next(now time.Time) (*Waiter, Verdict) {
 	for i, w := range q.waiting {
-		if w.canceled || now.Add(w.service/2+answerMargin).After(w.demand.GiveUp) {
+		if w.canceled || w.displaced || now.Add(w.service/2+answerMargin).After(w.demand.GiveUp) {
 			q.waiting = slices.Delete(q.waiting, i, i+1)
 			if w.canceled {
 				return q.Next(now)
--- a/sched/sched_test.go
+++ b/sched/sched_test.go
@@ -117,6 +117,33 @@
 	c.Assert(q.LongestWait(start) < 100*time.Millisecond, qt.IsTrue, qt.Commentf("%v", q.LongestWait(start)))
 }
 
+// An urgent call that finds the queue full of less urgent ones, as in a burst of a class with
+// long deadlines, takes the place of the last of them. Without that it is refused, and with
+// it the work of the call that needs it.
+func TestUrgentCallDisplacesTheLast(t *testing.T) {
+	c := qt.New(t)
+	q := busyQueue(1)
+	var waiting []*sched.Waiter
+	for i := range 40 {
+		w, v, _ := q.Arrive(start, demand("slow", 2, start, time.Duration(8+i)*time.Second, time.Minute))
+		if v == sched.Refuse {
+			break
+		}
+		waiting = append(waiting, w)
+	}
+	c.Assert(len(waiting) > 1 && len(waiting) < 40, qt.IsTrue, qt.Commentf("the queue is full"))
+	_, v, _ := q.Arrive(start, demand("slow", 2, start, time.Minute, time.Minute))
+	c.Assert(v, qt.Equals, sched.Refuse, qt.Commentf("a call that would be served last takes no place"))
+	_, v, _ = q.Arrive(start, demand("x", 0, start, 500*time.Millisecond, 500*time.Millisecond))
+	c.Assert(v, qt.Equals, sched.Wait)
+	w, v := q.Next(start)
+	c.Assert(v, qt.Equals, sched.Refuse)
+	c.Assert(w, qt.Equals, waiting[len(waiting)-1])
+	w, _ = q.Next(start)
+	c.Assert(w, qt.IsNil)
+	c.Assert(q.Waiting(), qt.Equals, len(waiting))
+}
+
 func TestExpiredWaiterIsRefused(t *testing.T) {
 	c := qt.New(t)
 	q := busyQueue(1)
