sched: estimates of waits follow the load that the upstream reports

Cause: upstreams that share their hosts say with each answer how long work takes there now, which changes many times a second; the queue beside them knew only a mean over many calls, so it let calls wait that could not be served in time, and refused others that could.

Change: the last report scales the estimates for half a second, but only while it has predicted service times better than the mean alone. A malformed header is counted, logged and ignored. Nothing changes for upstreams without it.

--- a/mesh/node.go
+++ b/mesh/node.go
@@ -145,7 +145,8 @@
 	n.witness = lease.NewWitness(n.self, s.leaseTerms(), now)
 	n.gate = sched.NewGate(n.clock)
 	n.pool = upconn.New(s.Upstream, n.ports.Dialect, upconn.WithClock(n.clock), upconn.WithLogger(n.log),
-		upconn.WithScope(n.scope), upconn.WithDown(n.handleUpstreamDown))
+		upconn.WithScope(n.scope), upconn.WithDown(n.handleUpstreamDown),
+		upconn.WithSlowness(n.gate.ReportSlowness))
 	n.budget = steer.NewBudget(s.RetryRatio, s.RetrySlack, s.RetryWindow)
 	n.upstream = newUpstreamState(s.answerHold())
 	n.inFlight, n.answered, n.quarantine = newInFlight(), poison.NewAnswered(), newQuarantine(n)
--- a/sched/gate.go
+++ b/sched/gate.go
@@ -56,6 +56,14 @@
 	g.queue.SetWarmup(limit, until)
 }
 
+// ReportSlowness records how long work takes at the upstream at present, in proportion to
+// the usual time, as the upstream says.
+func (g *Gate) ReportSlowness(value float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.queue.ReportSlowness(g.clock.Now(), value)
+}
+
 // IsCold reports whether starts are limited since the upstream is cold.
 func (g *Gate) IsCold() bool {
 	g.mu.Lock()
--- a/sched/queue.go
+++ b/sched/queue.go
@@ -113,6 +113,7 @@
 
 	offered, served rate
 	warmup          warmup
+	slowness        slowness
 	// meanService is the mean service time over the mix of calls that arrive.
 	meanService time.Duration
 	// arrivingWork is the service time that arrives per second, in seconds, by
@@ -150,8 +151,13 @@
 func (q *Queue) ResetServiceTimes() {
 	clear(q.means)
 	clear(q.deviations)
+	q.slowness.reset()
 }
 
+// ReportSlowness records how long work takes at the upstream at present, in proportion to
+// the usual time, as the upstream says.
+func (q *Queue) ReportSlowness(now time.Time, value float64) { q.slowness.report(now, value) }
+
 // ServiceTime returns the mean service time of a class, or defaultService if none of its
 // calls was measured.
 func (q *Queue) ServiceTime(class string) time.Duration {
@@ -214,6 +220,7 @@
 // caller still has time to retry.
 func (q *Queue) shouldWait(now time.Time, d Demand, wait, service time.Duration) bool {
 	likely := service + time.Duration(serviceMargin*float64(q.deviation(d.Class)))
+	likely = time.Duration(float64(likely) * q.slowness.factor(now))
 	need := time.Duration(waitMargin*float64(wait)) + likely
 	if !now.Add(need).After(d.Target) {
 		return true
@@ -234,7 +241,7 @@
 			count++
 		}
 	}
-	return max(q.drainTime(ahead, q.availableShare(now, d.Priority)), q.warmup.delay(now, count))
+	return max(q.drainTime(now, ahead, q.availableShare(now, d.Priority)), q.warmup.delay(now, count))
 }
 
 // availableShare returns the fraction of the slots that calls of higher priorities
@@ -250,8 +257,9 @@
 }
 
 // drainTime returns the time until the waiting calls ahead, with the given total
-// service time, have started on a fraction of the slots and one more slot is free.
-func (q *Queue) drainTime(ahead time.Duration, share float64) time.Duration {
+// service time, have started on a fraction of the slots and one more slot is free. It
+// follows the upstream's present speed.
+func (q *Queue) drainTime(now time.Time, ahead time.Duration, share float64) time.Duration {
 	if q.slots == 0 {
 		return time.Hour
 	}
@@ -261,7 +269,7 @@
 		// their number.
 		next = q.runningWork / time.Duration(q.running)
 	}
-	return time.Duration(float64(ahead+next)/share) / time.Duration(q.slots)
+	return time.Duration(float64(ahead+next)*q.slowness.factor(now)/share) / time.Duration(q.slots)
 }
 
 // retryAfter returns the delay before a retry: half of the estimated wait, by which
@@ -276,7 +284,7 @@
 	for _, w := range q.waiting {
 		sum += w.service
 	}
-	return max(q.drainTime(sum, 1), q.warmup.delay(now, len(q.waiting)))
+	return max(q.drainTime(now, sum, 1), q.warmup.delay(now, len(q.waiting)))
 }
 
 // compare orders waiting calls: by priority, then calls that can still meet their
@@ -359,6 +367,7 @@
 		q.means[class] = took
 		return
 	}
+	q.slowness.observe(now, mean, took)
 	deviation := q.deviation(class)
 	q.deviations[class] = deviation + time.Duration(smoothing*float64((took-mean).Abs()-deviation))
 	q.means[class] = mean + time.Duration(smoothing*float64(took-mean))
--- a/upconn/dialect.go
+++ b/upconn/dialect.go
@@ -29,6 +29,14 @@
 	Invalid
 )
 
+// LoadDialect is implemented by dialects of upstreams that report their load.
+type LoadDialect interface {
+	// Slowness returns how long work takes at the upstream at present, in proportion
+	// to the usual time; 0 if the answer does not say. The error tells why a report
+	// can't be used.
+	Slowness(response *http.Response) (float64, error)
+}
+
 // Dialect is the upstream's application protocol on top of HTTP: it encodes calls as
 // requests and classifies answers.
 type Dialect interface {
--- a/upconn/exchange.go
+++ b/upconn/exchange.go
@@ -127,6 +127,7 @@
 		case Invalid:
 			return nil, x.invalidAnswer(response)
 		case Matched:
+			x.readSlowness(response)
 			return x.readAnswer(ctx, response, sent)
 		case NotRun, Misdirected, KeyNotHeld:
 			x.updateReusable(response, sent, discardBody(response))
@@ -144,6 +145,23 @@
 	return calls.NewUnknown(calls.ReasonUpstreamLost, calls.WithCause(errInvalidAnswer))
 }
 
+// readSlowness reports what the answer says of the upstream's load.
+func (x *exchange) readSlowness(response *http.Response) {
+	d, ok := x.pool.dialect.(LoadDialect)
+	if !ok {
+		return
+	}
+	value, err := d.Slowness(response)
+	if err != nil {
+		x.pool.counts.badLoad.Inc(1)
+		x.pool.log.Info("load of the upstream ignored", "request", x.call.ID, "err", err.Error())
+		return
+	}
+	if value > 0 {
+		x.pool.onSlowness(value)
+	}
+}
+
 // recordRefusal keeps a refusal that the upstream sends once more from being taken for that of
 // a later call: the call it names is not sent on this connection again, and after one that
 // names no call the connection is not reused.
--- a/upconn/pool.go
+++ b/upconn/pool.go
@@ -38,7 +38,9 @@
 	log     logr.Logger
 	dialer  *net.Dialer
 	onDown  func(sure bool)
-	counts  counters
+	// onSlowness receives the slowness in answers.
+	onSlowness func(value float64)
+	counts     counters
 
 	mu sync.Mutex
 	// idle holds the idle connections; the one used last is at the end.
@@ -69,6 +71,11 @@
 // listens at the address.
 func WithDown(down func(sure bool)) Option { return func(p *Pool) { p.onDown = down } }
 
+// WithSlowness sets a function that receives how long work takes at the upstream at
+// present, in proportion to the usual time, with each answer that says so. The dialect
+// must implement LoadDialect.
+func WithSlowness(report func(value float64)) Option { return func(p *Pool) { p.onSlowness = report } }
+
 // New returns a pool of connections to the upstream at addr. It opens connections on
 // demand.
 func New(addr string, dialect Dialect, opts ...Option) *Pool {
@@ -79,7 +86,7 @@
 			Timeout: dialTimeout, Control: setUserTimeout,
 			KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: 1},
 		},
-		onDown: func(bool) {}, counts: newCounters(tally.NoopScope),
+		onDown: func(bool) {}, onSlowness: func(float64) {}, counts: newCounters(tally.NoopScope),
 	}
 	for _, opt := range opts {
 		opt(p)
@@ -88,7 +95,7 @@
 }
 
 type counters struct {
-	dialed, reused, stale, garbage, lost tally.Counter
+	dialed, reused, stale, garbage, lost, badLoad tally.Counter
 }
 
 func newCounters(scope tally.Scope) counters {
@@ -98,6 +105,7 @@
 		stale:   scope.Counter("upconn_stale_answers"),
 		garbage: scope.Counter("upconn_garbage"),
 		lost:    scope.Counter("upconn_lost"),
+		badLoad: scope.Counter("upconn_bad_load"),
 	}
 }
 
