quota: bound the memory that bodies take

Cause: a daemon read each body into one buffer of the announced length, before admission and without any bound over all of them. Clients that send many large bodies and stop short of their ends made it outgrow its host: 7 of the 14 crowds of TestCrowds took 167 to 221 MiB of 96.

Change: one account a process for the bodies of callers and of calls that other daemons forward (docs/design/bodies.md). Bodies are read in segments as room is granted; without room the slowest reader is ended with 408 if it is too slow, else the newcomer is refused with 503 after 0.3 s, both not run.

--- a/calls/body.go
+++ b/calls/body.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 )
 
 // MaxBuffered is the largest body, in bytes, that is buffered in memory so that
@@ -17,7 +18,9 @@
 
 // Buffered is a body that is held in memory and can be rewound and read again.
 type Buffered struct {
-	data   []byte
+	data []byte
+	// more holds the segments of a long body that follow data.
+	more   [][]byte
 	offset int
 }
 
@@ -30,19 +33,63 @@
 	return &Buffered{data: data}
 }
 
+// NewSegments returns a body that consists of segments. It retains the slices, which must
+// not be changed afterwards.
+func NewSegments(segments [][]byte) *Buffered {
+	if len(segments) == 0 {
+		return emptyBody
+	}
+	return &Buffered{data: segments[0], more: segments[1:]}
+}
+
 // Read implements io.Reader.
 func (b *Buffered) Read(p []byte) (int, error) {
-	if b.offset >= len(b.data) {
-		return 0, io.EOF
+	at := b.offset
+	for i := -1; i < len(b.more); i++ {
+		segment := b.data
+		if i >= 0 {
+			segment = b.more[i]
+		}
+		if at < len(segment) {
+			n := copy(p, segment[at:])
+			b.offset += n
+			return n, nil
+		}
+		at -= len(segment)
 	}
-	n := copy(p, b.data[b.offset:])
-	b.offset += n
-	return n, nil
+	return 0, io.EOF
 }
 
+// Len returns the length of the body in bytes.
+func (b *Buffered) Len() int {
+	n := len(b.data)
+	for _, segment := range b.more {
+		n += len(segment)
+	}
+	return n
+}
+
+// Reader returns a reader of the whole body, independent of what has been read.
+func (b *Buffered) Reader() io.Reader {
+	readers := []io.Reader{bytes.NewReader(b.data)}
+	for _, segment := range b.more {
+		readers = append(readers, bytes.NewReader(segment))
+	}
+	return io.MultiReader(readers...)
+}
+
+// Prefix returns up to n bytes from the start of the body, but no more than those of its
+// first segment. The result must not be modified.
+func (b *Buffered) Prefix(n int) []byte { return b.data[:min(n, len(b.data))] }
+
 // Bytes returns the whole body, independent of what has been read. The result must
-// not be modified.
-func (b *Buffered) Bytes() []byte { return b.data }
+// not be modified. The segments of a long body are copied into one slice.
+func (b *Buffered) Bytes() []byte {
+	if len(b.more) > 0 {
+		b.data, b.more = slices.Concat(append([][]byte{b.data}, b.more...)...), nil
+	}
+	return b.data
+}
 
 // Close implements io.Closer. It does nothing.
 func (b *Buffered) Close() error { return nil }
@@ -97,7 +144,7 @@
 func PeekBody(call *Call, n int) ([]byte, error) {
 	switch body := call.Body.(type) {
 	case *Buffered:
-		return body.data[:min(n, len(body.data))], nil
+		return body.Prefix(n), nil
 	case *prefixedBody:
 		if len(body.prefix) >= n {
 			return body.prefix[:n], nil
--- a/mesh/crashes.go
+++ b/mesh/crashes.go
@@ -66,8 +66,7 @@
 	if !ok {
 		return nil
 	}
-	data := body.Bytes()
-	return data[:min(len(data), poison.PrefixBytes)]
+	return body.Prefix(poison.PrefixBytes)
 }
 
 // handleCrash reports the calls that were in flight when the given instance of the
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -22,6 +22,7 @@
 	"github.com/monsoonmoor/monsoonmoor/peers"
 	"github.com/monsoonmoor/monsoonmoor/plan"
 	"github.com/monsoonmoor/monsoonmoor/poison"
+	"github.com/monsoonmoor/monsoonmoor/quota"
 	"github.com/monsoonmoor/monsoonmoor/sched"
 	"github.com/monsoonmoor/monsoonmoor/steer"
 	"github.com/monsoonmoor/monsoonmoor/store"
@@ -74,6 +75,8 @@
 	state   *gossip.State
 	witness *lease.Witness
 	machine *owner.Machine
+	// bodies bounds the memory of the bodies of requests.
+	bodies *quota.Account
 	// evacuations are the zones that the operator has evacuated.
 	evacuations *evac.State
 	tables      map[ident.Service]*table
@@ -142,6 +145,7 @@
 	}, gossip.DefaultTimings(), n.self.Boot)
 	n.seed(now, s.Seeds)
 	n.evacuations = evac.New()
+	n.bodies = quota.New(n.bodyCapacity(), quota.WithClock(n.clock))
 	n.witness = lease.NewWitness(n.self, s.leaseTerms(), now)
 	n.gate = sched.NewGate(n.clock)
 	n.pool = upconn.New(s.Upstream, n.ports.Dialect, upconn.WithClock(n.clock), upconn.WithLogger(n.log),
@@ -163,7 +167,7 @@
 func (n *Node) listen() error {
 	var err error
 	n.web, err = peers.ListenWeb(n.settings.PeerAddr, nil, &peerHandler{n}, peers.WithWebClock(n.clock),
-		peers.WithWebLogger(n.log), peers.WithWaitFunc(n.peerWaits.record))
+		peers.WithWebLogger(n.log), peers.WithBodies(n.bodies), peers.WithWaitFunc(n.peerWaits.record))
 	if err != nil {
 		return err
 	}
--- a/mesh/source.go
+++ b/mesh/source.go
@@ -106,6 +106,7 @@
 	n.notify()
 	n.mu.Unlock()
 	n.paceWarmup()
+	n.bodies.SetCapacity(n.bodyCapacity())
 	n.ready.Store(!n.isStopping())
 	n.requestReconcile()
 }
--- a/peers/web.go
+++ b/peers/web.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"sync"
@@ -19,6 +20,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/monsoonmoor/monsoonmoor/calls"
+	"github.com/monsoonmoor/monsoonmoor/quota"
 	"github.com/monsoonmoor/monsoonmoor/steady"
 )
 
@@ -88,6 +90,8 @@
 	done        sync.WaitGroup
 	onWait      func(addr string, wait time.Duration)
 	unconfirmed *unconfirmedPeers
+	// bodies bounds the memory of the bodies of calls that peers forward.
+	bodies *quota.Account
 }
 
 // WebOption configures a Web transport.
@@ -105,12 +109,16 @@
 	return func(w *Web) { w.onWait = waits }
 }
 
+// WithBodies sets the account of the memory that the bodies of forwarded calls take; without
+// it that memory has no bound.
+func WithBodies(bodies *quota.Account) WebOption { return func(w *Web) { w.bodies = bodies } }
+
 // ListenWeb opens a transport on a TCP address. Config authenticates both ends; with a
 // nil config, connections are not encrypted. Close ends the transport.
 func ListenWeb(addr string, config *tls.Config, handler WebHandler, opts ...WebOption) (*Web, error) {
 	w := &Web{
 		handler: handler, clock: clockwork.NewRealClock(), log: logr.Discard(),
-		scheme: "http", onWait: func(string, time.Duration) {}, unconfirmed: newUnconfirmedPeers(),
+		scheme: "http", onWait: func(string, time.Duration) {}, unconfirmed: newUnconfirmedPeers(), bodies: quota.New(0),
 	}
 	for _, opt := range opts {
 		opt(w)
@@ -222,7 +230,7 @@
 	if err != nil {
 		return nil, calls.NewNotRun(calls.ReasonTooLarge, calls.WithCause(err))
 	}
-	payload := newCancelableBody(io.MultiReader(bytes.NewReader(header), bytes.NewReader(body.Bytes())),
+	payload := newCancelableBody(io.MultiReader(bytes.NewReader(header), body.Reader()),
 		func() { w.unconfirmed.confirmed(addr) })
 	sendCtx, cancel := context.WithCancel(ctx)
 	timeout, probe := w.unconfirmed.confirmTimeout(addr)
@@ -238,7 +246,7 @@
 		w.unconfirmed.abandoned(addr, probe)
 		return nil, calls.NewNotRun(calls.ReasonPeerDown, calls.WithCause(err))
 	}
-	request.ContentLength = int64(len(header) + len(body.Bytes()))
+	request.ContentLength = int64(len(header) + body.Len())
 	request.Header.Set("Expect", "100-continue")
 	response, err := w.client.RoundTrip(request)
 	if err != nil {
@@ -327,10 +335,12 @@
 	call := h.call(w.clock.Now(), r.Body)
 	ctx, cancel := steady.WithDeadline(r.Context(), w.clock, call.Deadline)
 	defer cancel()
-	if _, err := calls.Buffer(call, call.Length); err != nil {
-		w.refuse(rw, calls.NewNotRun(calls.ReasonCanceled, calls.WithCause(err)))
+	share, failure := w.readBody(ctx, rw, call)
+	if failure != nil {
+		w.refuse(rw, failure)
 		return
 	}
+	defer share.Release()
 	reply, err := w.handler.Run(ctx, call)
 	if err != nil {
 		w.refuse(rw, calls.AsError(err))
@@ -351,6 +361,28 @@
 	}
 }
 
+// readBody reads the body of a forwarded call into memory.
+func (w *Web) readBody(ctx context.Context, rw http.ResponseWriter, call *calls.Call) (*quota.Share, *calls.Error) {
+	if call.Length == 0 {
+		call.Body = calls.NewBuffered(nil)
+		return nil, nil
+	}
+	abort := func() { _ = http.NewResponseController(rw).SetReadDeadline(past) }
+	data, share, err := w.bodies.Read(ctx, call.Body, call.Length, math.MaxInt64, abort)
+	if err != nil {
+		reason := calls.ReasonCanceled
+		if errors.Is(err, quota.ErrFull) {
+			reason = calls.ReasonOverload
+		}
+		return nil, calls.NewNotRun(reason, calls.WithCause(err))
+	}
+	call.Body, call.Length = data, int64(data.Len())
+	return share, nil
+}
+
+// past is a deadline that has passed.
+var past = time.Unix(1, 0)
+
 // writeReply sends a header and a body, in one write if the body is in memory. A streamed
 // body is sent until ctx is done.
 func (w *Web) writeReply(ctx context.Context, rw http.ResponseWriter, header []byte, reply *calls.Reply) error {
--- a/upconn/exchange.go
+++ b/upconn/exchange.go
@@ -60,7 +60,7 @@
 	x := &exchange{pool: p, conn: c, call: call, instance: instance}
 	x.idleTime = p.clock.Now().Sub(c.lastUsed)
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
-	reply, err := x.run(ctx, p.dialect.Request(call, left, instance), body.Bytes())
+	reply, err := x.run(ctx, p.dialect.Request(call, left, instance), body)
 	if x.streaming {
 		// The call runs until its body has been read, and ctx bounds it until then.
 		reply.Body = calls.OnClose(reply.Body, func() { stop() })
@@ -95,14 +95,15 @@
 }
 
 // run sends the request and reads responses until it finds the call's answer.
-func (x *exchange) run(ctx context.Context, request *http.Request, body []byte) (*calls.Reply, *calls.Error) {
-	request.Body = io.NopCloser(bytes.NewReader(body))
-	request.ContentLength = int64(len(body))
-	if len(body) == 0 {
+func (x *exchange) run(ctx context.Context, request *http.Request, body *calls.Buffered) (*calls.Reply, *calls.Error) {
+	length := body.Len()
+	request.Body = io.NopCloser(body.Reader())
+	request.ContentLength = int64(length)
+	if length == 0 {
 		request.Body = http.NoBody
 	}
 	sent := make(chan error, 1)
-	if len(body) <= maxSyncSend {
+	if length <= maxSyncSend {
 		sent <- x.send(request)
 	} else {
 		go func() { sent <- x.send(request) }()
