--- a/calls/body.go
+++ b/calls/body.go
@@ -71,6 +71,9 @@
 
 // Reader returns a reader of the whole body, independent of what has been read.
 func (b *Buffered) Reader() io.Reader {
+	if len(b.more) == 0 {
+		return bytes.NewReader(b.data)
+	}
 	readers := []io.Reader{bytes.NewReader(b.data)}
 	for _, segment := range b.more {
 		readers = append(readers, bytes.NewReader(segment))
--- a/mesh/bodies.go
+++ b/mesh/bodies.go
@@ -1,6 +1,10 @@
 package mesh
 
-import "github.com/monsoonmoor/monsoonmoor/quota"
+import (
+	"time"
+
+	"github.com/monsoonmoor/monsoonmoor/quota"
+)
 
 const (
 	// bodyShare is the part of the process's memory that the bodies of requests may take,
@@ -9,6 +13,8 @@
 	// for connections and for the collector.
 	bodyShare    = 0.3
 	maxBodyShare = 0.5
+	// bodyReportInterval is the time between two updates of the metrics.
+	bodyReportInterval = time.Second
 	// bodyMargin is the room kept for the largest body, in proportion to it, so that
 	// other callers have room beside it.
 	bodyMargin = 1.25
@@ -23,3 +29,11 @@
 	largest := bodyMargin * float64(n.Plan().Limits().BodyBytes)
 	return int64(max(bodyShare*memory, min(largest, maxBodyShare*memory)))
 }
+
+// reportBodies updates the metrics of the account.
+func (n *Node) reportBodies() {
+	used, slow, refused := n.bodies.Stats()
+	n.metrics.bodyBytes.Update(float64(used))
+	n.metrics.bodySlow.Update(float64(slow))
+	n.metrics.bodyRefused.Update(float64(refused))
+}
--- a/mesh/counts.go
+++ b/mesh/counts.go
@@ -24,6 +24,7 @@
 	answered, failed, notRun, unknown tally.Counter
 	latency, refusal                  tally.Histogram
 	warmup, evacuated, evacuatedRows  tally.Gauge
+	bodyBytes, bodySlow, bodyRefused  tally.Gauge
 	writes                            map[owner.Outcome]tally.Counter
 	commands                          map[holds.Outcome]tally.Counter
 }
@@ -38,6 +39,10 @@
 		latency:  scope.Histogram("mesh_answer_seconds", buckets),
 		refusal:  scope.Histogram("mesh_refusal_seconds", buckets),
 		warmup:   scope.Gauge("mesh_warmup_seconds"),
+		// The room that bodies take, and how many were ended or refused.
+		bodyBytes:   scope.Gauge("mesh_body_bytes"),
+		bodySlow:    scope.Gauge("mesh_body_slow"),
+		bodyRefused: scope.Gauge("mesh_body_refused"),
 		// The ranges that a daemon of an evacuated zone still owns.
 		evacuatedRows: scope.Gauge("mesh_evacuated_rows"),
 		evacuated:     scope.Gauge("mesh_evacuated_zones"),
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -195,6 +195,7 @@
 	n.spawn(func() { n.every(gossip.DefaultTimings().Interval, n.sendGossip) })
 	n.spawn(n.reconcileLoop)
 	n.spawn(func() { n.every(keyRateInterval, n.updateKeyRates) })
+	n.spawn(func() { n.every(bodyReportInterval, n.reportBodies) })
 	n.spawn(n.monitorUpstream)
 	n.spawn(n.monitorLateness)
 	n.spawn(n.watchConfig)
--- a/quota/account.go
+++ b/quota/account.go
@@ -119,7 +119,8 @@
 	data, err := s.read(ctx, body, length, limit)
 	a.mu.Lock()
 	delete(a.readers, s)
-	if s.slow && err != nil {
+	if s.slow {
+		// The reader is being aborted, also if its body is complete by now.
 		err = ErrSlow
 	}
 	a.mu.Unlock()
