listen: bound the number of open connections

A new one beyond that takes the place of the connection that has been without a request for the longest time, or is closed if all have one.

--- a/listen/conns.go
+++ b/listen/conns.go
@@ -28,6 +28,8 @@
 
 	mu     sync.Mutex
 	states map[net.Conn]connState
+	// limit is the largest number of connections; 0 for no limit.
+	limit int
 }
 
 // connState is a connection's state and the time when it entered the state.
@@ -41,6 +43,38 @@
 	return &Conns{clock: clock, states: make(map[net.Conn]connState)}
 }
 
+// SetLimit sets the largest number of connections; 0 stands for no limit. A new connection
+// beyond it takes the place of the one that has been without a request for the longest
+// time, or is closed if all have one.
+func (c *Conns) SetLimit(limit int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.limit = limit
+}
+
+// makeRoom closes a connection if there are as many as the limit allows, and reports whether
+// there is room for another one. It is called with mu held.
+func (c *Conns) makeRoom() bool {
+	if c.limit <= 0 || len(c.states) < c.limit {
+		return true
+	}
+	var oldest net.Conn
+	for conn, s := range c.states {
+		if s.state != http.StateIdle && s.state != http.StateNew {
+			continue
+		}
+		if oldest == nil || s.since.Before(c.states[oldest].since) {
+			oldest = conn
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	delete(c.states, oldest)
+	_ = oldest.Close()
+	return true
+}
+
 // RecordState records the new state of a connection. It is meant to be used as the field
 // ConnState of an http.Server.
 func (c *Conns) RecordState(conn net.Conn, state http.ConnState) {
@@ -50,6 +84,10 @@
 		delete(c.states, conn)
 		return
 	}
+	if _, known := c.states[conn]; !known && state == http.StateNew && !c.makeRoom() {
+		_ = conn.Close()
+		return
+	}
 	c.states[conn] = connState{state: state, since: c.clock.Now()}
 }
 
--- a/listen/server.go
+++ b/listen/server.go
@@ -33,6 +33,7 @@
 	done             chan struct{}
 	stopSweep        context.CancelFunc
 	conns            *Conns
+	maxConns         int
 }
 
 // Option configures a Server.
@@ -48,6 +49,11 @@
 // before each check, so the timeout may change at any time; zero disables it.
 func WithIdle(idle func() time.Duration) Option { return func(s *Server) { s.idleTimeout = idle } }
 
+// WithMaxConns sets the largest number of open connections. A new one beyond it takes the
+// place of the connection that has been without a request for the longest time, or is closed
+// if all have one. The default is no limit.
+func WithMaxConns(limit int) Option { return func(s *Server) { s.maxConns = limit } }
+
 // Serve listens on an address and starts serving in the background. The server runs
 // until Close or Drain is called.
 func Serve(addr string, handler http.Handler, opts ...Option) (*Server, error) {
@@ -65,6 +71,7 @@
 		opt(s)
 	}
 	s.conns = NewConns(s.clock)
+	s.conns.SetLimit(s.maxConns)
 	s.listener = NewDrainingListener(inner)
 	s.server = &http.Server{
 		Handler: s.withConnectionClose(handler), ReadHeaderTimeout: headerTimeout,
