review: a request that crashes endpoints is not counted where they keep their id

Cause: CrashID names a crash by host, service and id, so that all crashes of an endpoint that starts again under its id count as one.

--- a/review/stand2/endpoint.go
+++ b/review/stand2/endpoint.go
@@ -29,6 +29,11 @@
 	// body returns the body of the answer.
 	body    func(r *http.Request) []byte
 	sharded bool
+	// sameID keeps the id over boots.
+	sameID bool
+	// crashes tells whether a request crashes the endpoint, and onCrash is called then.
+	crashes func(r *http.Request) bool
+	onCrash func(id string)
 
 	server *http.Server
 
@@ -80,9 +85,13 @@
 		e: e, id: fmt.Sprintf("i-%s-%d", e.name, born), born: born, up: true, state: "ready",
 		done: make(chan struct{}), running: map[uint32]int{}, highest: make([]uint64, 1<<16),
 	}
+	if e.sameID {
+		l.id = "i-" + e.name
+	}
 	e.mu.Lock()
 	e.life = l
 	e.mu.Unlock()
+	e.fleet.log.add("endpoint %s starts as %s", e.name, l.id)
 	go l.beat()
 }
 
@@ -156,6 +165,11 @@
 	}
 	e.fleet.log.add("run %s at %s key %d fence %d begins", id, e.name, key, fence)
 	e.judgeArrival(id)
+	if e.crashes != nil && e.crashes(r) {
+		e.crash()
+		e.onCrash(id)
+		panic(http.ErrAbortHandler)
+	}
 	late := time.NewTimer(time.Until(until))
 	defer late.Stop()
 	if !e.sharded {
--- a/review/stand2/restored.go
+++ b/review/stand2/restored.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net/http"
+	"sync"
 	"time"
 )
 
@@ -28,9 +29,12 @@
 	old := f.store.copyTopics()
 	f.log.add("a copy of the store is made: table.rounds ends at %d", len(old["keyed.table.rounds"]))
 	copied := time.Now()
-	for _, m := range f.machines[:2] {
-		m.replaceEndpoint()
+	var replaced sync.WaitGroup
+	for _, m := range f.machines[:3] {
+		replaced.Go(m.replaceEndpoint)
+		time.Sleep(1500 * time.Millisecond)
 	}
+	replaced.Wait()
 	f.log.add("table.rounds ends at %d", f.store.end("keyed.table.rounds"))
 	if trouble {
 		f.store.setDown(true)
