owner: ownership survives a store that comes back from a copy

Cause: the version of an ownership table was the offset of its record, and fencing tokens follow from versions. The store gives the offsets of lost records out again, so versions and tokens were used twice, with other owners; daemons with lost versions in memory could neither read nor write the table.

Change: an offset includes the store's era, which Store-Era counts, so that versions and tokens rise over restores. The newest known table is written again in the new era under a key of the era, which tells late writes apart. Until the leases of the earlier era have ended, no key gets another owner; upstreams that got keys by a lost version keep them under their token. A conflicting write is its writer's own only in its own era.

--- a/atlas/change.go
+++ b/atlas/change.go
@@ -64,13 +64,23 @@
 // the load of the range in calls per second. Assign returns false, and changes
 // nothing, if the host has no member or the range is invalid.
 func (c *Change) Assign(span Span, host ident.Host, token string, rate float64) bool {
+	return c.assign(span, host, c.Fence(), token, rate)
+}
+
+// Adopt makes the member on a host the owner of a range under a fencing token that its
+// upstream has already. Otherwise it is like Assign.
+func (c *Change) Adopt(span Span, host ident.Host, fence Fence, rate float64) bool {
+	return c.assign(span, host, fence, "", rate)
+}
+
+func (c *Change) assign(span Span, host ident.Host, fence Fence, token string, rate float64) bool {
 	owner := c.table.memberIndex(host)
 	if owner < 0 || !span.isValid() {
 		return false
 	}
 	c.Release(span)
 	c.changed = true
-	row := Row{Span: span, Owner: owner, Fence: c.Fence(), Token: token, Rate: float32(rate)}
+	row := Row{Span: span, Owner: owner, Fence: fence, Token: token, Rate: float32(rate)}
 	at, _ := slices.BinarySearchFunc(c.table.doc.Rows, span.From, func(r Row, p Point) int {
 		return int(r.Span.From) - int(p)
 	})
@@ -130,6 +140,9 @@
 	c.mergeRows()
 }
 
+// EndRecovery removes the mark of Recovering from the new version.
+func (c *Change) EndRecovery() { c.changed, c.table.recovering = true, false }
+
 // RowsOf returns the ranges of a host, including the changes made so far.
 func (c *Change) RowsOf(host ident.Host) []Row { return c.table.RowsOf(host) }
 
--- a/atlas/table.go
+++ b/atlas/table.go
@@ -10,6 +10,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/monsoonmoor/monsoonmoor/ident"
+	"github.com/monsoonmoor/monsoonmoor/store"
 )
 
 // Fence is the fencing token of a grant. Tokens increase with the versions of a
@@ -66,10 +67,19 @@
 	Rows    []Row
 }
 
+// recovery is the encoded form of a table that was written again after the store came
+// back from a copy, and whose ranges may not be given to other members yet.
+type recovery struct {
+	_          struct{} `cbor:",toarray"`
+	Table      document
+	Recovering bool
+}
+
 // Table is one version of the ownership table. It is immutable.
 type Table struct {
-	version uint64
-	doc     document
+	version    uint64
+	doc        document
+	recovering bool
 }
 
 // New returns the empty table of a service, which is version 0.
@@ -78,7 +88,17 @@
 }
 
 // At returns the same table as another version.
-func (t *Table) At(version uint64) *Table { return &Table{version: version, doc: t.doc} }
+func (t *Table) At(version uint64) *Table {
+	return &Table{version: version, doc: t.doc, recovering: t.recovering}
+}
+
+// Recover returns the same table as the first version of a later era of the store, which
+// a member writes. See Recovering.
+func (t *Table) Recover(version uint64, writer ident.Incarnation, number uint64) *Table {
+	next := &Table{version: version, doc: t.doc, recovering: true}
+	next.doc.Writer, next.doc.Number = writer, number
+	return next
+}
 
 // Decode returns the table in a document, with the given version. Its errors
 // wrap ErrMalformed.
@@ -88,7 +108,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrMalformed, err)
 	}
-	if err := cbor.Unmarshal(plain, &t.doc); err != nil {
+	if err := t.decode(plain); err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrMalformed, err)
 	}
 	if err := t.validate(); err != nil {
@@ -97,9 +117,27 @@
 	return t, nil
 }
 
+// decode reads either form of the document, which have different numbers of fields.
+func (t *Table) decode(plain []byte) error {
+	err := cbor.Unmarshal(plain, &t.doc)
+	if err == nil {
+		return nil
+	}
+	var r recovery
+	if cbor.Unmarshal(plain, &r) != nil {
+		return err
+	}
+	t.doc, t.recovering = r.Table, r.Recovering
+	return nil
+}
+
 // Encode returns the document of the table. It does not include the version.
 func (t *Table) Encode() ([]byte, error) {
-	data, err := cbor.Marshal(t.doc)
+	var doc any = t.doc
+	if t.recovering {
+		doc = recovery{Table: t.doc, Recovering: true}
+	}
+	data, err := cbor.Marshal(doc)
 	if err != nil {
 		return nil, fmt.Errorf("encode ownership table: %w", err)
 	}
@@ -131,6 +169,15 @@
 // Version returns the table's version, which is 0 before the first write.
 func (t *Table) Version() uint64 { return t.version }
 
+// Era returns the era of the store in which the table was written, which is part of its
+// version.
+func (t *Table) Era() uint64 { return store.Era(t.version) }
+
+// Recovering reports whether the table was written again after the store came back from
+// a copy, and later versions may be lost that named other owners. Until a version without
+// this mark is written, no range may be given to another member.
+func (t *Table) Recovering() bool { return t.recovering }
+
 // Service returns the service whose keys the table assigns.
 func (t *Table) Service() ident.Service { return t.doc.Service }
 
@@ -208,6 +255,12 @@
 // given one.
 func FenceAfter(version uint64) Fence { return Fence(version+1) * FencesPerVersion }
 
+// Version returns the version of the table to which a fencing token belongs.
+func (f Fence) Version() uint64 { return uint64(f) / FencesPerVersion }
+
+// Era returns the era of the store in which a fencing token was given out.
+func (f Fence) Era() uint64 { return store.Era(f.Version()) }
+
 // Unowned returns the ranges without an owner, in ascending order.
 func (t *Table) Unowned() []Span {
 	spans := make([]Span, 0, len(t.doc.Rows))
@@ -229,7 +282,7 @@
 // Change starts a change of the table. Signing it yields the next version; the
 // table itself stays as it is.
 func (t *Table) Change() *Change {
-	next := &Table{version: t.version + 1, doc: document{
+	next := &Table{version: t.version + 1, recovering: t.recovering, doc: document{
 		Service: t.doc.Service,
 		Members: slices.Clone(t.doc.Members),
 		Rows:    slices.Clone(t.doc.Rows),
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -24,6 +24,9 @@
 	// Renewal asks a witness to renew the sender's lease. Renewed is the witness's answer.
 	Renewal *Renewal `cbor:"3,keyasint,omitempty"`
 	Renewed *Renewal `cbor:"4,keyasint,omitempty"`
+	// TableEra is sent with Renewal: the era of the store of which the sender has read its ownership table, plus one. It
+	// is 0 from daemons that do not tell.
+	TableEra uint64 `cbor:"13,keyasint,omitempty"`
 	// Ballot asks a witness whether a lease has ended. Vote is the answer of a witness that confirms it.
 	Ballot *Ballot `cbor:"5,keyasint,omitempty"`
 	Vote   *Ballot `cbor:"6,keyasint,omitempty"`
@@ -106,6 +109,9 @@
 	Witness ident.Incarnation
 }
 
+// IsOutdated reports whether the message renews a lease of an earlier era of the store than the given one.
+func (m Message) IsOutdated(era uint64) bool { return m.TableEra != 0 && m.TableEra <= era }
+
 // Encode returns the message in CBOR, or an error if it exceeds MaxMessage.
 func (m Message) Encode() ([]byte, error) {
 	data, err := cbor.Marshal(m)
--- a/lease/terms.go
+++ b/lease/terms.go
@@ -33,10 +33,10 @@
 	return Terms{Length: DefaultLength, Renewal: DefaultRenewal, Drift: DefaultDrift}
 }
 
-// voteTimeout returns how long a witness waits after the last renewal before it
+// VoteTimeout returns how long a witness waits after the last renewal before it
 // may vote that the lease has expired: the length of the lease plus the largest
 // clock drift over that time.
-func (t Terms) voteTimeout() time.Duration {
+func (t Terms) VoteTimeout() time.Duration {
 	return t.Length + time.Duration(float64(t.Length)*t.Drift)
 }
 
--- a/lease/witness.go
+++ b/lease/witness.go
@@ -55,7 +55,7 @@
 		if last, ok := w.lastRenewal[owner]; ok && last.After(since) {
 			since = last
 		}
-		if now.Sub(since) < w.terms.voteTimeout() {
+		if now.Sub(since) < w.terms.VoteTimeout() {
 			return false
 		}
 	}
@@ -73,7 +73,7 @@
 	if last, ok := w.lastRenewal[owner]; ok && last.After(since) {
 		since = last
 	}
-	return max(0, w.terms.voteTimeout()-now.Sub(since))
+	return max(0, w.terms.VoteTimeout()-now.Sub(since))
 }
 
 // Prune drops renewals and votes that are older than age and for whose member
--- a/mesh/counts.go
+++ b/mesh/counts.go
@@ -26,6 +26,7 @@
 	warmup, evacuated, evacuatedRows  tally.Gauge
 	bodyBytes, bodySlow, bodyRefused  tally.Gauge
 	writes                            map[owner.Outcome]tally.Counter
+	restores                          tally.Counter
 	commands                          map[holds.Outcome]tally.Counter
 }
 
@@ -45,9 +46,11 @@
 		bodyRefused: scope.Gauge("mesh_body_refused"),
 		// The ranges that a daemon of an evacuated zone still owns.
 		evacuatedRows: scope.Gauge("mesh_evacuated_rows"),
-		evacuated:     scope.Gauge("mesh_evacuated_zones"),
-		writes:        make(map[owner.Outcome]tally.Counter),
-		commands:      make(map[holds.Outcome]tally.Counter),
+		// The restores of the store from a copy that this daemon has noticed.
+		restores:  scope.Counter("mesh_store_restores"),
+		evacuated: scope.Gauge("mesh_evacuated_zones"),
+		writes:    make(map[owner.Outcome]tally.Counter),
+		commands:  make(map[holds.Outcome]tally.Counter),
 	}
 	for outcome, name := range map[owner.Outcome]string{
 		owner.Written: "written", owner.Lost: "lost", owner.Refused: "refused", owner.Unknown: "unknown",
--- a/mesh/evacuation.go
+++ b/mesh/evacuation.go
@@ -49,6 +49,7 @@
 
 // readEvacuations applies a snapshot of the operators' records.
 func (n *Node) readEvacuations(s store.Snapshot) {
+	n.observeEra(store.Era(s.End), "snapshot")
 	var active []evac.Record
 	for _, item := range s.Items {
 		if r, ok := n.evacuationRecord(item); ok {
--- a/mesh/foreign.go
+++ b/mesh/foreign.go
@@ -14,9 +14,10 @@
 // receiveStored installs the table in a record of the store. A record that holds no
 // table counts as a version without changes.
 func (n *Node) receiveStored(service ident.Service, item store.Item) {
-	version := item.Offset + 1
-	if item.Key != tableKey {
-		n.skipRecord(service, version, false, "key "+item.Key)
+	n.recordStoreEnd(service, item.Offset+1)
+	version, ok := tableVersion(item)
+	if !ok || n.isLate(service, version, item) {
+		n.skipRecord(service, item.Offset+1, false, "key "+item.Key)
 		return
 	}
 	next, err := atlas.Decode(version, item.Value)
@@ -25,7 +26,7 @@
 		return
 	}
 	n.mu.Lock()
-	if t := n.tables[service]; t != nil {
+	if t := n.tables[service]; t != nil && version > t.stored {
 		t.stored, t.unreadable = version, false
 	}
 	n.installTable(service, next, item.Value)
@@ -54,10 +55,11 @@
 // handleSnapshotEnd installs the newest table in the store as the version at the end of
 // the topic: the records after it hold no table, since a later one would be the newest.
 func (n *Node) handleSnapshotEnd(service ident.Service, end uint64) {
+	n.recordStoreEnd(service, end)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	t := n.tables[service]
-	if t == nil || t.unreadable || end <= t.current.Version() || t.stored != t.current.Version() {
+	if t == nil || store.Era(end) != t.current.Era() || t.unreadable || end <= t.current.Version() || t.stored != t.current.Version() {
 		return
 	}
 	n.repeatTable(t, end)
--- a/mesh/gossip.go
+++ b/mesh/gossip.go
@@ -207,6 +207,10 @@
 // document. A newer configuration, and a table version that concerns this daemon, are
 // fetched at once; other tables are fetched by fetchStale.
 func (n *Node) handleVersion(now time.Time, host ident.Host, v gossip.Version, urgent bool) {
+	if v.Name == eraDocument {
+		n.observeEra(v.Number, "peer")
+		return
+	}
 	n.mu.Lock()
 	from, ok := n.state.Find(now, host)
 	if !ok {
@@ -238,8 +242,15 @@
 // against it.
 func (n *Node) handleRenewal(now time.Time, m gossip.Message) {
 	n.mu.Lock()
-	renewed := n.witness.Renew(now, m.From)
 	from, ok := n.state.Find(now, m.From.Host)
+	if t := n.tables[from.Service]; t != nil && m.IsOutdated(t.current.Era()) {
+		// The member must read the table that was written since the store was restored.
+		version := gossip.Version{Name: topicOf(t.service), Number: t.encoded.version}
+		n.mu.Unlock()
+		n.socket.Send(from.Addr, gossip.Message{From: n.self, Changed: &version, Urgent: true})
+		return
+	}
+	renewed := n.witness.Renew(now, m.From)
 	n.mu.Unlock()
 	if !ok && from.Addr == "" {
 		return
@@ -312,6 +323,9 @@
 		}
 	}
 	n.fetchStale(now, a.Refresh)
+	if a.ReadStore {
+		n.readTableEnd(n.settings.Service)
+	}
 	for _, note := range a.Notes {
 		n.log.Info(note.Text, note.Pairs...)
 	}
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -77,6 +77,8 @@
 	machine *owner.Machine
 	// bodies bounds the memory of the bodies of requests.
 	bodies *quota.Account
+	// era is the era of the store, which rises when the store is restored from a copy.
+	era uint64
 	// evacuations are the zones that the operator has evacuated.
 	evacuations *evac.State
 	tables      map[ident.Service]*table
@@ -90,6 +92,7 @@
 
 	followers         []*store.Follower
 	fetching          sync.Map
+	readingEnd        atomic.Bool
 	configRaw         atomic.Pointer[document]
 	ready             atomic.Bool
 	reconcileRequests chan struct{}
--- a/mesh/settings.go
+++ b/mesh/settings.go
@@ -30,6 +30,9 @@
 	Interval time.Duration
 	// MaxGrant limits the length of grants; zero stands for no limit.
 	MaxGrant time.Duration
+	// FirstStart is set when the whole fleet starts for the first time, so that an
+	// ownership table that is missing in the store was not lost.
+	FirstStart bool
 	// GrantsByCall is set if the upstream is granted keys by calls to it, instead of
 	// by the answers to its heartbeats.
 	GrantsByCall bool
--- a/mesh/source.go
+++ b/mesh/source.go
@@ -46,6 +46,7 @@
 // follower; source names the follower in the log.
 func (n *Node) operatorRecords(source string) func(store.Item) {
 	return func(item store.Item) {
+		n.observeEra(store.Era(item.Offset), source)
 		if item.Key == n.ports.Config.Key {
 			n.readConfig(item.Value, source)
 			return
--- a/mesh/tables.go
+++ b/mesh/tables.go
@@ -17,7 +17,8 @@
 	// tableTopic is the prefix of the topic of an ownership table; the name of the
 	// service follows.
 	tableTopic = "table."
-	// tableKey is the key of the table in its topic.
+	// tableKey is the key of the table in its topic; a dot and the era of the store
+	// follow, unless the era is 0.
 	tableKey = "table"
 	// tablePollTimeout is how long a read waits for a change of a table, and
 	// tableMinInterval the least time between two reads: daemons announce changes to
@@ -88,11 +89,16 @@
 		opts := []owner.Option{
 			owner.WithTerms(n.settings.leaseTerms()), owner.WithHold(n.settings.grantLength()),
 			owner.WithHeat(n.upstreamKeyRates, n.callerKeyRates), owner.WithSeed(n.self.Boot),
+			owner.WithDocument(topicOf(service)),
+		}
+		if n.settings.FirstStart {
+			opts = append(opts, owner.WithFirstStart())
 		}
 		if n.settings.GrantsByCall {
 			opts = append(opts, owner.WithCalls())
 		}
 		n.machine = owner.New(n.self, service, n.clock.Now(), opts...)
+		n.machine.RecordEra(n.clock.Now(), n.era)
 		n.machine.SetEvacuated(n.upstream.evacuated)
 		n.replayHeartbeat()
 	}
@@ -164,7 +170,10 @@
 		return
 	}
 	t.current, t.loaded = next, true
-	t.encoded = document{data: data, version: next.Version()}
+	if next.Era() >= n.era {
+		// A table that is read from a restored store may not be the one of that version.
+		t.encoded = document{data: data, version: next.Version()}
+	}
 	if n.machine != nil && service == n.settings.Service {
 		n.machine.Read(n.clock.Now(), next)
 	}
@@ -179,6 +188,9 @@
 	if raw := n.configRaw.Load(); raw != nil {
 		out = append(out, gossip.Version{Name: configDocument, Number: raw.version})
 	}
+	if n.era > 0 {
+		out = append(out, gossip.Version{Name: eraDocument, Number: n.era})
+	}
 	if version := n.evacuations.Version(); version > 0 {
 		out = append(out, gossip.Version{Name: evacuationDocument, Number: version})
 	}
@@ -250,7 +262,9 @@
 	timer := n.clock.AfterFunc(storeTimeout, cancel)
 	defer cancel()
 	defer timer.Stop()
-	_, err := n.ports.Store.Put(ctx, store.Write{Topic: topic, Key: tableKey, Value: data, At: proposal.Version() - 1})
+	_, err := n.ports.Store.Put(ctx, store.Write{
+		Topic: topic, Key: keyInEra(proposal.Era()), Value: data, At: proposal.Version() - 1,
+	})
 	switch {
 	case err == nil:
 		return owner.Written
@@ -265,6 +279,10 @@
 	if !ok {
 		return owner.Unknown
 	}
+	if n.storeEra() > proposal.Era() {
+		// The write may be in the store, but as that of an earlier era.
+		return owner.Lost
+	}
 	by, number := newest.Writer()
 	ourBy, ourNumber := proposal.Writer()
 	if newest.Version() == proposal.Version() && by == ourBy && number == ourNumber {
@@ -303,22 +321,25 @@
 		n.log.Info("newest ownership table not read", "service", string(service), "err", err.Error())
 		return nil, false
 	}
+	var newest store.Item
+	version := uint64(0)
 	for _, item := range s.Items {
-		if item.Key != tableKey {
-			continue
-		}
 		n.receiveStored(service, item)
-		n.handleSnapshotEnd(service, s.End)
-		if t, err := atlas.Decode(item.Offset+1, item.Value); err == nil {
-			return t, true
+		if v, ok := tableVersion(item); ok && v > version {
+			newest, version = item, v
 		}
-		n.mu.Lock()
-		defer n.mu.Unlock()
-		current := n.tables[service].current
-		return current, current.Version() > item.Offset
 	}
 	n.handleSnapshotEnd(service, s.End)
-	return atlas.New(service), true
+	if version == 0 {
+		return atlas.New(service), true
+	}
+	if t, err := atlas.Decode(version, newest.Value); err == nil {
+		return t, true
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	current := n.tables[service].current
+	return current, current.Version() >= version
 }
 
 // settleProposal reports the outcome of a proposal to the owner state machine.
--- a/owner/commands.go
+++ b/owner/commands.go
@@ -26,6 +26,9 @@
 	if ok && member.Inc != m.Lease() {
 		return nil
 	}
+	if (!ok && m.isRecovering()) || len(m.claims()) > 0 {
+		return nil
+	}
 	var wanted []holds.Range
 	if ok {
 		wanted = m.wantedRanges()
--- a/owner/doc.go
+++ b/owner/doc.go
@@ -28,6 +28,10 @@
 //     over.
 //   - A daemon that starts while its upstream still holds keys resumes them under
 //     the same fencing tokens, if the table still names its host as their owner.
+//   - After the store came back from an older copy, the newest known table is written
+//     again, and no range gets another owner until all leases of the earlier era have
+//     ended. A range is granted under a token of an earlier era only if its member
+//     certainly owned it until then.
 //   - The fencing tokens of one version of the table are higher than those of all
 //     earlier versions. When a daemon sees its upstream end, the next life of the
 //     upstream (the next run of its process) gets the next token of the same
--- a/owner/heartbeat.go
+++ b/owner/heartbeat.go
@@ -13,8 +13,8 @@
 	// allow for the time that the answer to the heartbeat takes to arrive.
 	leaseMargin = 50 * time.Millisecond
 	// maxGrantedRanges limits the ranges in the answer to a heartbeat. Each
-	// takes some 44 bytes of the 4 KiB that upstreams read.
-	maxGrantedRanges = 88
+	// takes at most 50 bytes of the 4 KiB that upstreams read.
+	maxGrantedRanges = 80
 )
 
 // Heartbeat applies a heartbeat of the upstream. It returns false, and changes
@@ -102,6 +102,10 @@
 		return Grant{}
 	}
 	member, ok := m.table.Member(m.host)
+	if (!ok && m.isRecovering()) || len(m.claims()) > 0 {
+		// The upstream may hold ranges that it got by a version of the table that is lost.
+		return Grant{}
+	}
 	if !ok {
 		// The ranges that the upstream held have been taken over or given away.
 		u.granted = nil
@@ -118,6 +122,7 @@
 		g.Rows = g.Rows[:maxGrantedRanges]
 	}
 	m.noteGrant(g, now)
+	m.recordGranted()
 	u.granted = g.Rows
 	u.grantedUntil = now.Add(time.Duration(float64(g.Hold) * (1 + holds.ClockSlack)))
 	return g
@@ -135,7 +140,7 @@
 	}
 	var ranges []holds.Range
 	for _, row := range m.table.RowsOf(m.host) {
-		for _, span := range atlas.Subtract([]atlas.Span{row.Span}, leaving) {
+		for _, span := range atlas.Subtract(m.grantable(row), leaving) {
 			ranges = append(ranges, m.grantFor(row, span))
 		}
 	}
@@ -156,13 +161,13 @@
 	}
 	if !m.IsMember() {
 		_, ok := m.table.Member(m.host)
-		return !ok && len(u.holds) > 0
+		return !ok && len(u.holds) > 0 && !m.isRecovering()
 	}
-	if !now.Before(m.leaseEnd()) {
+	if !now.Before(m.leaseEnd()) || len(m.claims()) > 0 {
 		return false
 	}
 	if len(u.granted) == 0 || !now.Before(u.grantedUntil) {
-		return len(m.table.RowsOf(m.host)) > 0
+		return len(m.ownSpans()) > 0
 	}
 	granted := grantedSpans(u.granted)
 	away := m.proposedAway()
@@ -171,7 +176,7 @@
 			away = append(away, r.span)
 		}
 	}
-	own := atlas.Subtract(atlas.Spans(m.table.RowsOf(m.host)), away)
+	own := atlas.Subtract(m.ownSpans(), away)
 	return len(atlas.Subtract(own, granted)) > 0 || len(atlas.Subtract(granted, own)) > 0
 }
 
--- a/owner/machine.go
+++ b/owner/machine.go
@@ -82,6 +82,22 @@
 	lastRequest, joiningSince, leavingSince time.Time
 	transfers                               transferLog
 
+	// document is the name under which gossip entries show the version of the table
+	// that a daemon has read.
+	document string
+	// era is the era of the store and eraSince when this daemon learned of it, storeEnd
+	// the offset at which the topic of the table ends.
+	era, storeEnd uint64
+	eraSince      time.Time
+	firstStart    bool
+	// confirmed are the ranges with fencing tokens of an era before confirmBelow that
+	// this member certainly owned until the restore.
+	confirmed    []ownedRange
+	confirmBelow uint64
+	// recoveringSince is when this daemon first read a table that is being recovered,
+	// readByAllSince when all others were known to have read it.
+	recoveringSince, readByAllSince time.Time
+
 	proposal *atlas.Table
 	// newestVersion is the highest version of the table that has been
 	// announced, whether or not it was read.
@@ -114,6 +130,8 @@
 	grantedUntil time.Time
 	// ended is set when the upstream is known to have ended.
 	ended bool
+	// answered is set once a heartbeat was answered with a grant.
+	answered bool
 }
 
 // release is a planned move in progress: the upstream is told to release a
@@ -161,6 +179,13 @@
 // returns, instead of by answers to its heartbeats.
 func WithCalls() Option { return func(m *Machine) { m.byCalls = true } }
 
+// WithDocument sets the name of the table in the versions of gossip entries.
+func WithDocument(name string) Option { return func(m *Machine) { m.document = name } }
+
+// WithFirstStart states that the whole fleet starts for the first time: there was no table
+// that could be lost.
+func WithFirstStart() Option { return func(m *Machine) { m.firstStart = true } }
+
 // WithSeed seeds the random delays that spread the members' attempts to write.
 func WithSeed(seed uint64) Option {
 	return func(m *Machine) { m.rng = rand.New(rand.NewPCG(seed, seed)) }
@@ -224,6 +249,13 @@
 	}
 	m.hasTable = true
 	before := m.table
+	m.RecordEra(now, t.Era())
+	if t.Era() > before.Era() || t.Era() < m.era {
+		m.confirmOwn(now)
+	}
+	if !t.Recovering() {
+		m.recoveringSince, m.readByAllSince = time.Time{}, time.Time{}
+	}
 	m.table = t
 	if member, ok := t.Member(m.host); ok && member.Inc == m.Lease() {
 		m.holder.SetWitnesses(member.Witnesses)
--- a/owner/moves.go
+++ b/owner/moves.go
@@ -27,7 +27,7 @@
 
 // planMoves starts the moves that are due and reports whether it started any.
 func (m *Machine) planMoves(now time.Time) bool {
-	if !m.IsMember() || !m.upstream.present || !now.Before(m.leaseEnd()) {
+	if !m.IsMember() || !m.upstream.present || !now.Before(m.leaseEnd()) || m.isRecovering() {
 		return false
 	}
 	if m.isEnding() {
--- a/owner/propose.go
+++ b/owner/propose.go
@@ -46,8 +46,11 @@
 	}
 	switch {
 	case m.proposal != nil || !m.hasTable || now.Before(m.proposeAfter):
-	case m.newestVersion > m.table.Version():
+	case m.awaitsNewerTable(now):
 		a.Refresh = m.mayPropose(now)
+	case m.isOutdated():
+		a.Proposal, a.ReadStore = m.proposeRewrite(now)
+		m.proposal = a.Proposal
 	default:
 		a.Proposal = m.propose(now)
 		m.proposal = a.Proposal
@@ -84,7 +87,7 @@
 // mayPropose reports whether the member may have a change to propose. It may
 // return true when there is none; then the table is only read once more.
 func (m *Machine) mayPropose(now time.Time) bool {
-	return m.mustWriteHandovers(now) || len(m.requests) > 0 || len(m.suspects) > 0 ||
+	return m.isRecovering() || m.mustWriteHandovers(now) || len(m.unconfirmedSpans()) > 0 || len(m.requests) > 0 || len(m.suspects) > 0 ||
 		!m.unownedSince.IsZero() || m.holdsNothing(now) || m.IsMember() != m.canOwnKeys() || m.needsWitnesses(now) || len(m.refusedRanges()) > 0
 }
 
@@ -104,6 +107,10 @@
 // change.
 func (m *Machine) propose(now time.Time) *atlas.Table {
 	c := m.table.Change()
+	if m.isRecovering() {
+		m.proposeRecovery(now, c)
+		return m.finish(c)
+	}
 	m.proposeMembership(now, c)
 	m.proposeRequests(now, c)
 	if _, ok := m.table.Member(m.host); ok && m.IsMember() {
@@ -112,12 +119,18 @@
 		}
 		m.proposeUpstreamLoss(now, c)
 		m.proposeNewFences(c)
+		m.proposeConfirmedFences(c)
 	}
 	m.proposeLeave(now, c)
 	if m.IsMember() || c.Changed() {
 		m.proposeTakeovers(c)
 		m.proposeUnowned(now, c)
 	}
+	return m.finish(c)
+}
+
+// finish returns the next version of the table, or nil if the change is empty.
+func (m *Machine) finish(c *atlas.Change) *atlas.Table {
 	if !c.Changed() {
 		return nil
 	}
@@ -166,7 +179,7 @@
 // holds all of these ranges; otherwise the ranges get new tokens.
 func (m *Machine) proposeResume(c *atlas.Change) {
 	resumed := m.canResume()
-	if !resumed {
+	if !resumed && !m.isRecovering() {
 		c.RenewFences(m.host)
 	}
 	m.note("resuming ranges", "rows", len(m.table.RowsOf(m.host)), "same_tokens", resumed)
@@ -221,7 +234,7 @@
 		}
 		m.note("leaving", "lease", m.Lease().String())
 		c.Drop(m.host)
-	case member.Inc != m.Lease() && m.holdsNothing(now):
+	case member.Inc != m.Lease() && m.holdsNothing(now) && !m.isRecovering():
 		m.proposeLeaveOfEarlierRun(c)
 	}
 }
--- a/owner/renew.go
+++ b/owner/renew.go
@@ -51,6 +51,7 @@
 		return
 	}
 	m.boot++
+	m.confirmed = nil
 	m.refusedBy = make(map[ident.Incarnation]bool)
 	m.holder = lease.NewHolder(m.terms)
 	m.renewals = make(map[uint64]time.Time)
@@ -88,7 +89,7 @@
 	messages := make([]Message, 0, len(to))
 	for _, w := range to {
 		messages = append(messages, Message{To: w.Host, Message: gossip.Message{
-			From: m.Lease(), Renewal: &gossip.Renewal{Number: m.renewalNumber},
+			From: m.Lease(), Renewal: &gossip.Renewal{Number: m.renewalNumber}, TableEra: m.table.Era() + 1,
 		}})
 	}
 	return messages
--- a/owner/types.go
+++ b/owner/types.go
@@ -102,6 +102,9 @@
 	// Refresh is set when the newest version of the table must be read before
 	// anything can be proposed.
 	Refresh bool
+	// ReadStore is set when the end of the table's topic in the store must be read
+	// before the table can be written again.
+	ReadStore bool
 	// Notes are decisions to be logged.
 	Notes []Note
 }
--- a/owner/walk_test.go
+++ b/owner/walk_test.go
@@ -97,6 +97,25 @@
 	}
 }
 
+// TestRestores simulates a store that comes back from older copies beside the other faults,
+// at times while all daemons are killed. It guards against fencing tokens that are given out
+// twice, keys with two holders, and keys that have no holder after recovery.
+func TestRestores(t *testing.T) {
+	for name, r := range map[string]rules{"by heartbeat": {restores: true}, "by call": {restores: true, byCalls: true}} {
+		t.Run(name, func(t *testing.T) {
+			for _, seed := range seedsUpTo(seedCount(40)) {
+				size := 4 + int(seed%5)
+				w := simulate(seed, size, r, 20*time.Second)
+				if len(w.violations) > 0 || w.held() < len(probes) {
+					t.Errorf("seed %d, %d daemons: %d of %d keys held; %s\n%s", seed, size, w.held(), len(probes),
+						strings.Join(w.violations, "; "), tail(w.log, 60))
+					return
+				}
+			}
+		})
+	}
+}
+
 // evacuatedHolders returns the hosts of the evacuated zone whose upstreams hold keys.
 func (w *simulation) evacuatedHolders() []ident.Host {
 	var hosts []ident.Host
@@ -139,6 +158,7 @@
 		{"upstreams say what they still work on", rules{hideHolds: true}},
 		{"votes wait for the lease to end, grants by call", rules{earlyVotes: true, byCalls: true}},
 		{"clocks are within their bound, grants by call", rules{slowClocks: true, byCalls: true}},
+		{"a restore begins a new era", rules{restores: true, sameEra: true}},
 		{"the time of a late grant counts from its arrival", rules{lateHolds: true, byCalls: true}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
--- a/owner/world_store_test.go
+++ b/owner/world_store_test.go
@@ -35,7 +35,7 @@
 	d.pendingWrite = nil
 	if p.outcome == owner.Lost {
 		w.races++
-		d.machine.Read(w.now, w.newest)
+		w.readStore(d)
 	}
 	d.machine.RecordOutcome(w.now, p.proposal, p.outcome)
 }
@@ -74,6 +74,9 @@
 func (w *simulation) apply(t *atlas.Table) owner.Outcome {
 	by, number := t.Writer()
 	newestBy, newestNumber := w.newest.Writer()
+	if w.rules.restores {
+		return w.applyInEra(t)
+	}
 	switch {
 	case t.Version() == w.newest.Version()+1, w.rules.unconditionalWrites && t.Version() > w.newest.Version()-3:
 		if w.rules.unconditionalWrites {
--- a/owner/world_test.go
+++ b/owner/world_test.go
@@ -49,6 +49,10 @@
 	// evacuations is no broken rule: a zone with every third daemon is evacuated and
 	// taken back at random.
 	evacuations bool
+	// restores is no broken rule: the store comes back from older copies at random.
+	restores bool
+	// sameEra makes the store hide that it was restored.
+	sameEra bool
 }
 
 // held is a range that an upstream holds.
@@ -105,13 +109,16 @@
 // simulation holds the daemons, the network, the store and the clock of a
 // simulated fleet.
 type simulation struct {
-	rng            *rand.Rand
-	now            time.Time
-	rules          rules
-	daemons        []*daemon
-	inFlight       []message
-	delayedWrites  []*write
-	newest         *atlas.Table
+	rng           *rand.Rand
+	now           time.Time
+	rules         rules
+	daemons       []*daemon
+	inFlight      []message
+	delayedWrites []*write
+	newest        *atlas.Table
+	// records are the tables in the store, and era counts its restores.
+	records        []storedTable
+	era            uint64
 	storeDownUntil time.Time
 	calls          []*keyCall
 	// evacuated is set while the zone with every third daemon is evacuated.
@@ -136,6 +143,9 @@
 		rng: rand.New(rand.NewPCG(seed, 77)), now: epoch, rules: r, newest: atlas.New(service),
 		tokens: make(map[atlas.Point]atlas.Fence), holders: make(map[atlas.Point]string),
 	}
+	if r.restores {
+		w.era = 1
+	}
 	for i := range size {
 		d := &daemon{host: ident.Host(fmt.Sprintf("h%d", i)), upstream: &upstream{}}
 		w.daemons = append(w.daemons, d)
@@ -148,7 +158,12 @@
 func (w *simulation) start(d *daemon) {
 	d.boot = uint64(w.now.UnixMilli())
 	self := ident.NewIncarnation(d.host, d.boot)
-	opts := []owner.Option{owner.WithTerms(terms), owner.WithHold(hold), owner.WithSeed(w.rng.Uint64())}
+	opts := []owner.Option{
+		owner.WithTerms(terms), owner.WithHold(hold), owner.WithSeed(w.rng.Uint64()), owner.WithDocument(tableDocument),
+	}
+	if w.now.Equal(epoch) {
+		opts = append(opts, owner.WithFirstStart())
+	}
 	if w.rules.byCalls {
 		opts = append(opts, owner.WithCalls())
 	}
@@ -230,6 +245,9 @@
 				e.Condition = gossip.Stopping
 			}
 		}
+		if w.rules.restores {
+			e.Versions = []gossip.Version{{Name: tableDocument, Number: o.machine.Table().Version()}}
+		}
 		entries = append(entries, e)
 	}
 	return entries
@@ -286,6 +304,7 @@
 func (w *simulation) handle(d *daemon, m gossip.Message) {
 	self := ident.NewIncarnation(d.host, d.boot)
 	switch {
+	case m.Renewal != nil && m.IsOutdated(d.machine.Table().Era()):
 	case m.Renewal != nil:
 		reply := gossip.Message{From: self, Renewed: m.Renewal}
 		if !d.witness.Renew(w.now, m.From) {
@@ -322,9 +341,15 @@
 	}
 	if !w.now.Before(d.nextRead) && w.storeUp(d) {
 		d.nextRead = w.now.Add(w.delay(200))
-		d.machine.Read(w.now, w.newest)
+		w.readStore(d)
+	}
+	if w.rules.restores && w.rng.IntN(10) == 0 {
+		w.fetchFromPeer(d)
 	}
 	a := d.machine.Tick(w.now, w.live(d))
+	if a.ReadStore && w.storeUp(d) {
+		w.readStore(d)
+	}
 	for _, m := range a.Messages {
 		w.send(d, m.To, m.Message)
 	}
@@ -399,6 +424,10 @@
 		w.setEvacuated(!w.evacuated)
 		return
 	}
+	if w.rules.restores && w.rng.IntN(6) == 0 {
+		w.restore()
+		return
+	}
 	switch w.rng.IntN(10) {
 	case 0:
 		d.up, d.restartAt = false, long
--- a/owner/writer.go
+++ b/owner/writer.go
@@ -138,13 +138,13 @@
 	changed := false
 	if r.Join != nil && m.canAdmit(r) {
 		c.Join(atlas.Member{Inc: r.Owner, Witnesses: r.Join.Witnesses})
-		if r.Join.Renew {
+		if r.Join.Renew && !m.isRecovering() {
 			c.RenewFences(r.Owner.Host)
 		}
 		m.note("admitting", "lease", r.Owner.String(), "before", r.Join.Before.String(), "renew", r.Join.Renew)
 		changed = true
 	}
-	if m.assignMoves(c, r.Owner, r.Moves) > 0 {
+	if !m.isRecovering() && m.assignMoves(c, r.Owner, r.Moves) > 0 {
 		changed = true
 	}
 	if member, ok := m.table.Member(r.Owner.Host); r.Leave && ok && member.Inc == r.Owner && len(c.RowsOf(r.Owner.Host)) == 0 {
--- a/store/mem.go
+++ b/store/mem.go
@@ -26,6 +26,8 @@
 	faults MemFaults
 	topics map[string]*memTopic
 	calls  int
+	// era counts the restores.
+	era uint64
 	// drops counts the calls of HangPendingReads.
 	drops int
 }
@@ -83,6 +85,54 @@
 	t.first = t.end
 }
 
+// MemCopy is a copy of the contents of a Mem.
+type MemCopy struct {
+	topics map[string]*memTopic
+}
+
+// Copy returns a copy of the contents, for Restore.
+func (m *Mem) Copy() MemCopy {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return MemCopy{topics: cloneTopics(m.topics)}
+}
+
+// Restore replaces the contents by those of a copy and begins the next era. Records of
+// the topic kept that were written since the copy are written again.
+func (m *Mem) Restore(c MemCopy, kept string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.era++
+	old := m.topics
+	m.topics = cloneTopics(c.topics)
+	if lost, ok := old[kept]; ok {
+		t := m.topic(kept)
+		for _, item := range lost.items[min(len(t.items), len(lost.items)):] {
+			t.add(item.Key, item.Value)
+		}
+	}
+	for _, t := range old {
+		close(t.grown)
+	}
+}
+
+func cloneTopics(topics map[string]*memTopic) map[string]*memTopic {
+	out := make(map[string]*memTopic, len(topics))
+	for name, t := range topics {
+		out[name] = &memTopic{items: slices.Clone(t.items), first: t.first, end: t.end, grown: make(chan struct{})}
+	}
+	return out
+}
+
+// add appends an item and returns its index.
+func (t *memTopic) add(key string, value []byte) uint64 {
+	t.items = append(t.items, Item{Key: key, Value: slices.Clone(value), Offset: t.end})
+	t.end++
+	close(t.grown)
+	t.grown = make(chan struct{})
+	return t.end - 1
+}
+
 // Put implements Port.
 func (m *Mem) Put(_ context.Context, w Write) (uint64, error) {
 	m.mu.Lock()
@@ -92,14 +142,10 @@
 		return 0, fmt.Errorf("put %s: %w", w.Key, ErrRefused)
 	}
 	t := m.topic(w.Topic)
-	if w.At != AnyOffset && w.At != t.end {
-		return 0, fmt.Errorf("put %s at offset %d, topic ends at %d: %w", w.Key, w.At, t.end, ErrConflict)
+	if end := NewOffset(m.era, t.end); w.At != AnyOffset && w.At != end {
+		return 0, fmt.Errorf("put %s at offset %d, topic ends at %d: %w", w.Key, w.At, end, ErrConflict)
 	}
-	offset := t.end
-	t.items = append(t.items, Item{Key: w.Key, Value: slices.Clone(w.Value), Offset: offset})
-	t.end++
-	close(t.grown)
-	t.grown = make(chan struct{})
+	offset := NewOffset(m.era, t.add(w.Key, w.Value))
 	if m.faults.LoseAnswers {
 		return 0, fmt.Errorf("put %s: %w", w.Key, ErrOutcomeUnknown)
 	}
@@ -117,9 +163,9 @@
 	t := m.topic(topic)
 	newest := make(map[string]Item)
 	for _, item := range t.items {
-		newest[item.Key] = item
+		newest[item.Key] = m.inEra(item)
 	}
-	s := Snapshot{End: t.end}
+	s := Snapshot{End: NewOffset(m.era, t.end)}
 	for _, item := range newest {
 		if len(item.Value) > 0 {
 			s.Items = append(s.Items, item)
@@ -165,18 +211,24 @@
 		return Page{}, nil, fmt.Errorf("read %s: %w", topic, ErrRefused)
 	}
 	t := m.topic(topic)
-	if from < t.first {
-		return Page{}, nil, fmt.Errorf("read %s: %w", topic, &ExpiredError{First: t.first})
+	if first := NewOffset(m.era, t.first); from < first {
+		return Page{}, nil, fmt.Errorf("read %s: %w", topic, &ExpiredError{First: first})
 	}
-	page := Page{End: t.end}
+	page := Page{End: NewOffset(m.era, t.end)}
 	for _, item := range t.items {
-		if item.Offset >= from {
+		if item = m.inEra(item); item.Offset >= from {
 			page.Items = append(page.Items, item)
 		}
 	}
 	return page, t.grown, nil
 }
 
+// inEra returns an item with the offset that it has in the present era.
+func (m *Mem) inEra(item Item) Item {
+	item.Offset = NewOffset(m.era, item.Offset)
+	return item
+}
+
 // topic returns a topic, which it creates if needed. The caller must hold mu.
 func (m *Mem) topic(name string) *memTopic {
 	t, ok := m.topics[name]
--- a/store/port.go
+++ b/store/port.go
@@ -9,9 +9,10 @@
 
 // Errors of the methods of Port.
 var (
-	// ErrConflict means that the topic does not end at the expected offset. Nothing
-	// was written.
-	ErrConflict = errors.New("topic has grown past the expected offset")
+	// ErrConflict means that the topic does not end at the expected offset, or that the
+	// store was restored from a copy since. The write did not take effect in the era of
+	// the expected offset, and will not.
+	ErrConflict = errors.New("topic does not end at the expected offset")
 	// ErrRefused means that the store refused the call or could not be reached.
 	// Nothing was written.
 	ErrRefused = errors.New("store refused the call")
@@ -22,8 +23,8 @@
 	ErrMalformed = errors.New("malformed answer from the store")
 )
 
-// ExpiredError reports a read from an offset below the first record that the store still
-// has.
+// ExpiredError reports a read from an offset that the store does not have: one below the
+// first record that it still has, or one of an earlier era.
 type ExpiredError struct {
 	// First is the lowest offset that can be read.
 	First uint64
@@ -31,7 +32,7 @@
 
 // Error implements error.
 func (e *ExpiredError) Error() string {
-	return fmt.Sprintf("records below offset %d have expired", e.First)
+	return fmt.Sprintf("records below offset %d of era %d have expired", Index(e.First), Era(e.First))
 }
 
 // Item is a record: one value of a key.
@@ -62,8 +63,10 @@
 	Topic string
 	Key   string
 	Value []byte
-	// At is the offset at which the topic must end for the write to take effect;
-	// AnyOffset sets no condition.
+	// At is the offset at which the topic must end for the write to take effect, in its
+	// era; AnyOffset sets no condition. A call that was delayed over a restore may
+	// store its record in the later era all the same: where that matters, the key or
+	// the value must name the era.
 	At uint64
 }
 
@@ -80,6 +83,6 @@
 	Newest(ctx context.Context, topic string) (Snapshot, error)
 	// Read returns the records from an offset on. If there is none, it waits for the
 	// first one, at most for wait, and then returns an empty page. It fails with a
-	// ExpiredError if the offset is below the first record that the store still has.
+	// ExpiredError if the store does not have the offset.
 	Read(ctx context.Context, topic string, from uint64, wait time.Duration) (Page, error)
 }
