mesh: evacuations outlive a restore of the store

The evacuations now stay as they were for 2 s after a daemon learned of the restore; then the records are read once more. The rest of the evacuation time is left for one that begins meanwhile.

--- a/mesh/era.go
+++ b/mesh/era.go
@@ -78,6 +78,7 @@
 	}
 	n.state.Update(func(e *gossip.Entry) { e.Versions = n.documentVersions() })
 	started := n.configRaw.Load() != nil
+	n.rewriting = started
 	n.mu.Unlock()
 	if !started {
 		n.log.Info("era of the store", "era", era, "source", source)
@@ -88,6 +89,7 @@
 		"written_again", "presence, quarantined calls, ownership table")
 	n.broadcastState()
 	n.spawn(n.announce)
+	n.spawn(func() { n.rereadEvacuations(era) })
 	n.queueQuarantined(n.quarantine.ReportBlocked(n.settings.Service))
 	n.requestReconcile()
 }
--- a/mesh/evacuation.go
+++ b/mesh/evacuation.go
@@ -1,6 +1,8 @@
 package mesh
 
 import (
+	"context"
+	"fmt"
 	"strings"
 	"time"
 
@@ -18,6 +20,10 @@
 // that the daemon took to learn of the evacuation and that the last calls take to arrive.
 const evacuationGraceShare = 0.5
 
+// rewriteTime is how long after a restore of the store the operators' records are taken to
+// be incomplete. The rest of Settings.Evacuation is left for an evacuation that begins then.
+const rewriteTime = 2 * time.Second
+
 // evacuationGrace returns how long after this daemon learned of an evacuation calls still
 // run at the upstream.
 func (n *Node) evacuationGrace(ordered bool) time.Duration {
@@ -41,7 +47,7 @@
 // readEvacuation applies a record that evacuates a zone or takes that back.
 func (n *Node) readEvacuation(item store.Item) {
 	r, ok := n.evacuationRecord(item)
-	if !ok {
+	if !ok || n.isRewriting() {
 		return
 	}
 	n.changeEvacuations("store", func() bool { return n.evacuations.Apply(r) })
@@ -50,6 +56,13 @@
 // readEvacuations applies a snapshot of the operators' records.
 func (n *Node) readEvacuations(s store.Snapshot) {
 	n.observeEra(store.Era(s.End), "snapshot")
+	if n.isRewriting() {
+		return
+	}
+	n.applyEvacuations(s)
+}
+
+func (n *Node) applyEvacuations(s store.Snapshot) {
 	var active []evac.Record
 	for _, item := range s.Items {
 		if r, ok := n.evacuationRecord(item); ok {
@@ -61,6 +74,9 @@
 
 // mergeEvacuations applies the evacuations that another daemon has sent.
 func (n *Node) mergeEvacuations(data []byte) {
+	if n.isRewriting() {
+		return
+	}
 	n.changeEvacuations("peer", func() bool {
 		changed, err := n.evacuations.Merge(data)
 		if err != nil {
@@ -70,6 +86,42 @@
 	})
 }
 
+// isRewriting reports whether the operators may not have written their records again yet
+// that were lost in a restore of the store. The evacuations remain until then as they were
+// before it: the copy may lack some, or hold some that were taken back.
+func (n *Node) isRewriting() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.rewriting
+}
+
+// rereadEvacuations waits until the operators have written their records again, and then
+// reads the evacuations.
+func (n *Node) rereadEvacuations(era uint64) {
+	timer := n.clock.NewTimer(rewriteTime)
+	defer timer.Stop()
+	select {
+	case <-timer.Chan():
+	case <-n.ctx.Done():
+		return
+	}
+	n.retry("evacuations not read", func(ctx context.Context) error {
+		s, err := n.ports.Store.Newest(ctx, n.ports.Config.Topic)
+		if err != nil {
+			return fmt.Errorf("read evacuations: %w", err)
+		}
+		n.mu.Lock()
+		// A later restore has begun another wait.
+		done := n.era == era
+		n.rewriting = n.rewriting && !done
+		n.mu.Unlock()
+		if done {
+			n.applyEvacuations(s)
+		}
+		return nil
+	})
+}
+
 // changeEvacuations changes the evacuations, which change does, and their effects on this
 // daemon.
 func (n *Node) changeEvacuations(source string, change func() bool) {
--- a/mesh/evacuation_test.go
+++ b/mesh/evacuation_test.go
@@ -141,3 +141,52 @@
 		return ran > before
 	})
 }
+
+// The test guards against an evacuation that lapses when the store comes back from a copy
+// that doesn't have it yet, and one that returns from a copy though it was taken back: the
+// operator's records are written again a moment later.
+func TestEvacuationsOutliveARestore(t *testing.T) {
+	for _, test := range []struct {
+		name      string
+		evacuated bool
+	}{{"begun since the copy", true}, {"taken back since the copy", false}} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			mem, zones, all := zoneFleet(c)
+			write := func(evacuated bool) {
+				value := ""
+				if evacuated {
+					value = "{}"
+				}
+				put(c, mem, "evacuate/a", value)
+			}
+			write(!test.evacuated)
+			if !test.evacuated {
+				awaitEvacuated(c, all, zones["a"])
+			}
+			older := mem.Copy()
+			write(test.evacuated)
+			if test.evacuated {
+				awaitEvacuated(c, all, zones["a"])
+			} else {
+				eventually(c, func() bool { return runsAt(all, zones["a"]) })
+			}
+			mem.Restore(older, "")
+			for begun, rewritten := time.Now(), false; time.Since(begun) < 5*time.Second; time.Sleep(20 * time.Millisecond) {
+				if !rewritten && time.Since(begun) > 500*time.Millisecond {
+					write(test.evacuated)
+					rewritten = true
+				}
+				c.Assert(runsAt(all, zones["a"]), qt.Equals, !test.evacuated, qt.Commentf("after %v", time.Since(begun)))
+			}
+		})
+	}
+}
+
+// runsAt sends calls through all hosts and reports whether some ran at the given ones.
+func runsAt(all, hosts []*host) bool {
+	before, _ := ranAt(hosts)
+	sendAll(all)
+	after, _ := ranAt(hosts)
+	return after > before
+}
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -79,6 +79,8 @@
 	bodies *quota.Account
 	// era is the era of the store, which rises when the store is restored from a copy.
 	era uint64
+	// rewriting is set for a while after that.
+	rewriting bool
 	// evacuations are the zones that the operator has evacuated.
 	evacuations *evac.State
 	tables      map[ident.Service]*table
