--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -29,12 +29,9 @@
 // trials are the cases by name. Each returns whether the rule was broken.
 var trials = map[string]func(t *trial) bool{
 	"fences":    fences,
-	"departed":  departed,
-	"unread":    unread,
 	"witnesses": witnesses,
 	"stuck":     stuck,
 	"terms":     terms,
-	"fields":    fields,
 }
 
 // limit ends a trial that takes too long.
