gossip: live daemons of a fleet of 200 stay live

In a fleet of 200 daemons that all run, up to 13 were counted as lost at a time by some other, for a moment, and a daemon on a new host took all others for lost 1.8 s after it had found them (found by TestLateStart and TestMembershipConverges at 200; both passed up to 66). A daemon that is taken for lost is no target of calls, gets no keys, and its members are suspected.

Cause: a message carried the heartbeat counters of 100 daemons, so that some rises took longer than the time to suspicion; and each daemon sends to the others in a random order of all hosts, 66 rounds long, in which a new host only comes up after its end.

Change: a message carries up to 256 counters (1.9 kB at 200 daemons in the test), and a new host is inserted at a random place of the current order.

Measured, without a network: with 100 counters TestMembershipConverges fails at 200 daemons; before both changes the new daemon of TestLateStart found all after 36 rounds of 0.2 s, now after 3, and loses none in the 30 rounds after.

--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -82,7 +82,7 @@
 // TestMembershipConverges checks that fleets of several sizes that know three seed addresses discover all daemons,
 // suspect none that runs, detect the loss of a quarter of the daemons within 15 rounds and find them again.
 func TestMembershipConverges(t *testing.T) {
-	for _, n := range []int{4, 10, 66} {
+	for _, n := range []int{4, 10, 66, 200} {
 		c := qt.New(t)
 		cl := newCluster(n)
 		for range 40 {
@@ -199,7 +199,7 @@
 // TestLateStart starts a daemon in a fleet that has lost daemons; all that run answer its first message, but one whose
 // messages never reach it. It guards against lost daemons that count as live, and against live ones that don't.
 func TestLateStart(t *testing.T) {
-	for _, n := range []int{4, 10, 66} {
+	for _, n := range []int{4, 10, 66, 200} {
 		c := qt.New(t)
 		cl := newCluster(n)
 		for range 40 {
--- a/gossip/state.go
+++ b/gossip/state.go
@@ -37,10 +37,10 @@
 }
 
 const (
-	// maxEntries and maxBeats are the maximum numbers of entries and of heartbeat counters in one message. They keep
-	// a datagram near the usual size of a packet.
+	// maxEntries and maxBeats are the maximum numbers of entries and of heartbeat counters in one message. With fewer
+	// counters than daemons, a rise takes longer than the Suspect timing to reach some daemons of a fleet of 200.
 	maxEntries = 8
-	maxBeats   = 100
+	maxBeats   = 256
 	// changeRepeats is how many times a daemon forwards a new run or a changed condition of another one with priority.
 	changeRepeats = 6
 )
@@ -157,9 +157,20 @@
 	if e.Beat > p.counter {
 		s.raise(now, p, e.Beat, direct, begins)
 	}
+	if p.unconfirmed {
+		s.addTarget(e.Inc.Host)
+	}
 	p.entry, p.unconfirmed = e, false
 }
 
+// addTarget adds a new host at a random place of the current order of targets, which lasts for many rounds in a large
+// fleet: until a daemon is sent to, it learns nothing of the others.
+func (s *State) addTarget(host ident.Host) {
+	if !slices.Contains(s.shuffled, host) {
+		s.shuffled = slices.Insert(s.shuffled, s.rng.IntN(len(s.shuffled)+1), host)
+	}
+}
+
 // raise records a higher heartbeat counter. A counter that another daemon reports may have been received by that one at
 // any time before, so it is a sign of life only if it rises while it is being reported: the daemon that it belongs to
 // may have ended before its run became known here, or while this daemon was cut off.
