owner: a daemon that asks nobody finds nobody silent

A daemon whose upstream returned after more than a lease joined with a single witness, and named the others by a second version of the table: the loss of the two in between would have left its keys without an owner for good.

Cause: while there is nothing to renew nobody is asked, but the candidates counted as silent from their last answer, so that only a daemon that had never been asked was left.

Change: what is known of candidates is dropped while no lease is wanted.

--- a/owner/renew.go
+++ b/owner/renew.go
@@ -54,7 +54,12 @@
 		m.lastPick = now
 		m.pickWitnesses(now)
 	}
-	if now.Sub(m.lastRenewal) < m.renewalInterval(now) || !m.wantsLease() {
+	if !m.wantsLease() {
+		// Nobody is asked, so nobody is silent.
+		clear(m.inquiries)
+		return nil
+	}
+	if now.Sub(m.lastRenewal) < m.renewalInterval(now) {
 		return nil
 	}
 	m.lastRenewal = now
--- a/owner/witness_test.go
+++ b/owner/witness_test.go
@@ -224,3 +224,20 @@
 		c.Check(unheld[1] <= unheld[0]+interval+terms.Renewal, qt.IsTrue)
 	}
 }
+
+// The test guards against a daemon that takes those for silent that it has not asked: after
+// its upstream was away for longer than a lease, it joins with all its witnesses.
+func TestUpstreamReturns(t *testing.T) {
+	for seed := range uint64(8) {
+		c := qt.New(t)
+		w := newMachines(seed, 3, 4, rules{})
+		d := w.daemons[0]
+		d.upstream.up, d.upstream.restartAt = false, w.now.Add(5*time.Second)
+		w.run(5 * time.Second)
+		for end := w.now.Add(recoveryBound); !d.machine.IsMember() && w.now.Before(end); {
+			w.advance()
+		}
+		member, _ := w.newest.Member(d.host)
+		c.Check(member.Witnesses, qt.HasLen, 5)
+	}
+}
