owner: an inquiry tells whether a daemon is silent, not since when

Only whether the time was set was used. Besides, a witness that is given up by the read that begins a new era would be logged with a silence counted from the zero time (seen in the code, not in a run).

--- a/owner/witness.go
+++ b/owner/witness.go
@@ -38,9 +38,8 @@
 type inquiry struct {
 	// since is when the first renewal of the present series was sent.
 	since time.Time
-	// failedAt is when the daemon was found not to answer; zero while it answers
-	// or still may.
-	failedAt time.Time
+	// silent is set while the daemon does not answer.
+	silent bool
 }
 
 // recordAsked records that a renewal is sent to the given daemons, and to no
@@ -62,7 +61,7 @@
 func (m *Machine) retried() []ident.Incarnation {
 	var retried []ident.Incarnation
 	for _, e := range m.live {
-		if q := m.inquiries[e.Inc]; q != nil && !q.failedAt.IsZero() && len(retried) < maxRetried {
+		if q := m.inquiries[e.Inc]; q != nil && q.silent && len(retried) < maxRetried {
 			retried = append(retried, e.Inc)
 		}
 	}
@@ -80,17 +79,11 @@
 	}
 }
 
-// reviewInquiries finds the daemons that do not answer any more, and those that
-// answer again.
+// reviewInquiries finds the daemons that are asked and have not answered for half the
+// length of a lease.
 func (m *Machine) reviewInquiries(now time.Time) {
 	for w, q := range m.inquiries {
-		silent := now.Sub(m.silentSince(w)) > m.terms.Length/2
-		switch {
-		case !silent:
-			q.failedAt = time.Time{}
-		case q.failedAt.IsZero():
-			q.failedAt = now
-		}
+		q.silent = now.Sub(m.silentSince(w)) > m.terms.Length/2
 	}
 }
 
@@ -185,7 +178,7 @@
 // daemon that was not asked may be sound.
 func (m *Machine) isFailing(w ident.Incarnation) bool {
 	q := m.inquiries[w]
-	return m.refusedBy[w] || (q != nil && !q.failedAt.IsZero())
+	return m.refusedBy[w] || (q != nil && q.silent)
 }
 
 // hasAnswered reports whether a daemon has renewed the lease lately.
@@ -255,8 +248,12 @@
 			continue
 		}
 		m.givenUp++
+		var silent time.Duration
+		if since := m.silentSince(w); !since.IsZero() {
+			silent = now.Sub(since)
+		}
 		m.note("witness given up", "witness", w.String(), "reason", m.reasonAgainst(now, w),
-			"answered", !m.holder.LastRenewal(w).IsZero(), "silent", now.Sub(m.silentSince(w)).Round(time.Millisecond).String())
+			"answered", !m.holder.LastRenewal(w).IsZero(), "silent", silent.Round(time.Millisecond).String())
 	}
 	m.holder.SetWitnesses(next)
 }
