--- a/peers/fault_test.go
+++ b/peers/fault_test.go
@@ -97,12 +97,13 @@
 			f := newFleet(t)
 			c := f.c
 			server := newHandler()
-			_, to := f.join("b", server)
-			link := newRelay(c, to.Peer)
-			to.Peer = link.Addr()
+			var link atomic.Pointer[relay]
 			server.run = func(context.Context, *calls.Call) (*calls.Reply, error) {
-				return test.reply(func() { link.cut.Store(true) }), nil
+				return test.reply(func() { link.Load().cut.Store(true) }), nil
 			}
+			_, to := f.join("b", server)
+			link.Store(newRelay(c, to.Peer))
+			to.Peer = link.Load().Addr()
 			a, _ := f.join("a", newHandler(), peers.WithProbeTimeout(200*time.Millisecond), peers.WithDialTimeout(200*time.Millisecond))
 			got, err := a.Forward(context.Background(), to, newCall(http.MethodGet, ""))
 			if err == nil {
